--- /dev/null
+++ b/orchidgap/ports.py
@@ -0,0 +1,34 @@
+"""The interface that the decisions act through. Any protocol may stand behind it.
+
+Times are whole microseconds. Req and host ids are passed back exactly as they were given.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class Port(Protocol):
+    def dispatch(self, req: int, host: str, until: int) -> None:
+        """Send the req to a host; `until` is the clock time to give the dispatch up, 0 for the client timeout."""
+
+    def deny(self, req: int, pause: int) -> None:
+        """Final answer: turned away, a retry is harmless; `pause` asks the client to stay away, 0 for no advice."""
+
+    def abort(self, req: int) -> None:
+        """Final answer: it failed, and nothing is promised about its effect."""
+
+    def cancel(self, req: int, number: int) -> None:
+        """Stop waiting for one dispatch of the req."""
+
+    def wake(self, delay: int, token: int) -> None:
+        """Ask for the token back after the delay."""
+
+    def probe(self, host: str) -> None:
+        """Ask a host for a sign of life and its load."""
+
+    def subscribe(self) -> None:
+        """Ask for the host list and all later changes to it."""
+
+    def log(self, line: str) -> None:
+        """One line for the operators."""
--- /dev/null
+++ b/orchidgap/terms.py
@@ -0,0 +1,98 @@
+"""What is read at start, decoded once. Setting names of the wire stay in this file."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple
+
+
+class MissingTerm(LookupError):
+    """A setting without which nothing can be decided."""
+
+
+class RuleSet(NamedTuple):
+    name: str
+    response_target: int
+    client_timeout: int
+    replayable: bool
+    uniqued: bool
+    group: str  # who drops repeats: all, zone or cell
+    repeat_window: int
+    value: float
+    late_value: float
+    streamed: bool
+
+
+class Tenant(NamedTuple):
+    name: str
+    share: float
+
+
+class ServiceTerms(NamedTuple):
+    """
+    >>> pairs = {"rule-sets.count": "1", "rule-sets.0.name": "a", "rule-sets.0.effect": "dedup",
+    ...          "rule-sets.0.client-timeout": "900", "something.new": "7"}
+    >>> terms = ServiceTerms.read(pairs)
+    >>> terms.rule_sets["a"].uniqued, terms.rule_sets["a"].response_target, terms.tenants
+    (True, 900, {})
+    >>> ServiceTerms.read({"rule-sets.count": "1", "rule-sets.0.name": "a"})
+    Traceback (most recent call last):
+        ...
+    orchidgap.terms.MissingTerm: setting rule-sets.0.client-timeout is missing
+    """
+
+    rule_sets: dict[str, RuleSet]
+    tenants: dict[str, Tenant]
+    instances: int
+    origin_kind: str  # the kind whose entry is the origin; empty where the caches fetch for themselves
+    subscribes: bool
+    ask_within: int
+    reports_rate: bool  # probes and answers can tell a cache's reqs a second
+    max_dispatches: int
+    may_cancel: bool
+    may_duplicate: bool
+    may_probe: bool
+    gives_pause: bool
+    max_pause: int
+    cold_from: float
+    warm_after: int
+    fall_multiple: float
+
+    @classmethod
+    def read(cls, pairs: Mapping[str, str]) -> ServiceTerms:
+        def need(path: str) -> str:
+            if path not in pairs:
+                raise MissingTerm(f"setting {path} is missing")
+            return pairs[path]
+
+        def number(path: str, default: float) -> float:
+            return float(pairs.get(path, default))
+
+        def yes(path: str, default: str = "false") -> bool:
+            return pairs.get(path, default) in ("true", "1")
+
+        rule_sets = {}
+        for i in range(int(need("rule-sets.count"))):
+            at = f"rule-sets.{i}."
+            timeout = int(need(at + "client-timeout"))
+            effect = need(at + "effect")
+            rule_sets[need(at + "name")] = RuleSet(
+                pairs[at + "name"], int(number(at + "response-target", timeout)), timeout,
+                effect == "retryable", effect == "dedup", pairs.get(at + "group", "cell"),
+                int(number(at + "repeat-window", 0)), number(at + "value", 1.0), number(at + "late-value", 0.0),
+                yes(at + "stream"))
+        tenants = {}
+        for i in range(int(number("customers.count", 0))):
+            name = need(f"customers.{i}.name")
+            tenants[name] = Tenant(name, number(f"customers.{i}.share", 1.0))
+        kind = int(number("family-info.origin-kind", -1))
+        kinds = pairs.get("kinds", "").split(",")
+        aside = pairs.get("family-info.mode") == "aside" and 0 <= kind < len(kinds)
+        return cls(
+            rule_sets, tenants, max(1, int(number("instances", 1))), kinds[kind] if aside else "",
+            pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
+            pairs.get("report.how", "off") != "off" and "tps" in pairs.get("report.fields", "").split(","),
+            int(number("ceilings.most-dispatches", 3)), yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
+            yes("ceilings.probing"), yes("ceilings.retry-after"), int(number("ceilings.max-retry-after", 0)),
+            number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)),
+            number("guarantees.fall-multiple", 2.0))
--- /dev/null
+++ b/orchidgap/wirehost/__main__.py
@@ -0,0 +1,8 @@
+import sys
+
+from orchidgap.wirehost.codec import Malformed, serve
+
+try:
+    serve(sys.stdin.buffer, sys.stdout.buffer)
+except Malformed as fault:
+    sys.exit(f"orchidgap.wirehost: {fault}")
