--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -135,7 +135,7 @@
         if sent.verdict == "miss" and not req.over and not req.write:
             if note == 3 and not req.waited:  # another balancer fetches it: ask the cache again soon
                 req.waited = True
-                origin = sent.host.kin
+                self.desk.hold(req)  # else it is lost where its time is up first
                 return self.desk.later(max(20_000, self.desk.origin_lag()), self.again, req)
             req.missed = True
             return self.take(req)
