--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -132,7 +132,7 @@
         self.next.take(req, host)
 
     def back(self, req: Req, sent: Sent, note: int) -> None:
-        if sent.verdict == "miss" and not req.over and not req.write:
+        if sent.verdict == "miss" and not (req.over or req.write or req.missed):
             if note == 3 and not req.waited:  # another balancer fetches it: ask the cache again soon
                 req.waited = True
                 self.desk.hold(req)  # else it is lost where its time is up first
@@ -163,7 +163,7 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.heft, self.sends, self.drawn_at = 1.0, 0, desk.now
+        self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
         self.held: deque[Req] = deque()
         self.heat: dict[int, int] = {}
         self.spread: dict[int, int] = {}
@@ -174,6 +174,7 @@
         if not self.ring:
             return self.desk.finish(req)
         if not req.sent:
+            self.asked += 1
             self.heat[req.slot] = self.heat.get(req.slot, 0) + 1
         host = self.choose(req)
         if host is None:
@@ -192,9 +193,12 @@
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         if self.room(owner) and owner not in tried:
             return owner
-        for host in (owner.kin, ring[i - 1], ring[(i + 1) % n], ring[i - 2], ring[(i + 2) % n]):
-            if host is not None and host.state == "up" and host is not owner and host not in tried and self.room(host):
-                return host
+        if owner.kin is not None and owner.kin.state == "up" and owner.kin not in tried and self.room(owner.kin):
+            return owner.kin
+        for step in range(1, n // 2 + 1):
+            for host in (ring[i - step], ring[(i + step) % n]):
+                if host not in tried and self.room(host):
+                    return host
         return None
 
     def room(self, host: Host) -> bool:
@@ -208,13 +212,13 @@
         stay below its present capacity however traffic lies over the balancers."""
         terms = self.desk.terms
         part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
-        host.tokens = min(2.0, host.tokens + (self.sends - host.seen) * part * host.rating / self.heft)
-        host.seen = self.sends
+        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
+        host.seen = self.asked
         return host.tokens
 
     def back(self, req: Req, sent: Sent, note: int) -> None:
         self.pump()
-        if sent.verdict in ("done", "cancelled", "timeout", "miss") or req.over or req.out:
+        if sent.verdict in ("done", "cancelled", "timeout", "moot", "miss") or req.over or req.out:
             return self.prev.back(req, sent, note)
         if self.desk.terms.origin_kind and (req.write or req.missed):
             return self.prev.back(req, sent, note)
@@ -259,7 +263,7 @@
             host.kin = max(sides, key=lambda other: (other.sends, other.size))
             host.size = host.kin.size // 2
             host.kin.size -= host.size
-            host.seen = self.sends
+            host.seen = self.asked
             ring.insert(i, host)
         self.cut()
 
@@ -378,7 +382,6 @@
         host.out += 1
         if host.size:
             host.sends += 1
-            desk.placement.sends += 1
             if now < host.warm_at:
                 host.tokens -= 1.0
             if req.rule_set.replayable and desk.terms.may_duplicate:
@@ -513,7 +516,7 @@
             elif since != host.since:
                 out = host.out
                 host.reset(8.0)
-                host.out, host.seen = out, self.placement.sends
+                host.out, host.seen = out, self.placement.asked
             host.state, host.since, host.zone, host.cell, host.rating = state, since, zone, cell, rating
             if since and self.now < since + self.terms.warm_after and not is_origin:
                 host.warm_at = since + self.terms.warm_after
