--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -91,7 +91,7 @@
         self.total += 1.0
         if tenant:
             self.asked[req.tenant] += 1.0
-        age = desk.oldest_wait()
+        age = desk.oldest_wait(req.write)
         if (age > desk.target // 4) != self.pressed:
             self.pressed = not self.pressed
             desk.port.log(f"overload {'on' if self.pressed else 'off'}: oldest held {age // 1000} ms")
@@ -203,7 +203,7 @@
 
     def room(self, host: Host) -> bool:
         now = self.desk.now
-        if now < host.shun_until or host.out >= host.limit:
+        if now < host.shun_until or host.out >= host.limit or (host.strikes and host.out):
             return False
         return now >= host.warm_at or self.budget(host) >= 1.0
 
@@ -401,12 +401,20 @@
             self.take(req, other)
 
     def shun(self, host: Host, base: int) -> None:
-        now = self.desk.now
+        """No new work for a while; a probe, or else a single req, tells when the host is back."""
+        desk, now = self.desk, self.desk.now
         if now >= host.shun_until:
             host.strikes = min(host.strikes + 1, 5)
-            host.shun_until = now + min(base << host.strikes, 4_000_000)
+            host.shun_until = now + (base << host.strikes)
             if host.strikes == 2:
-                self.desk.port.log(f"shun {host.id}: out {host.out}, silent {(now - host.heard) // 1000} ms")
+                desk.port.log(f"shun {host.id}: 2 strikes, {host.out} out, {desk.terms.may_probe and 'probed'}")
+            if desk.terms.may_probe:
+                desk.later(host.shun_until - now, self.probe, host)
+
+    def probe(self, host: Host) -> None:
+        if host.strikes and self.desk.hosts.get(host.id) is host:
+            host.shun_until = self.desk.now + self.desk.target  # until the probe tells
+            self.desk.port.probe(host.id)
 
     def back(self, req: Req, sent: Sent, note: int) -> None:
         host, now = sent.host, self.desk.now
@@ -487,8 +495,15 @@
         if id in self.reqs:
             self.reqs[id].streaming = True
 
-    def on_probe(self, host: str, alive: bool, load: dict[str, float]) -> None:
-        self.on_report(host, load)
+    def on_probe(self, id: str, alive: bool, load: dict[str, float]) -> None:
+        self.on_report(id, load)
+        host = self.hosts.get(id)
+        if host is not None and host.strikes:
+            host.shun_until = self.now
+            if alive:
+                host.heard, host.strikes = self.now, 0
+            else:
+                self.sender.shun(host, 100_000)
 
     def on_report(self, host: str, load: dict[str, float]) -> None:
         if host in self.hosts and "tps" in load:
@@ -577,14 +592,12 @@
         if not req.over and not req.out and len(req.sent) == sent:
             self.finish(req)
 
-    def oldest_wait(self) -> int:
-        oldest = self.now
-        for waits in (self.placement.held, self.origin.writes, self.origin.reads):
-            while waits and waits[0].over:
-                waits.popleft()
-            if waits and waits[0].born < oldest:
-                oldest = waits[0].born
-        return self.now - oldest
+    def oldest_wait(self, write: bool) -> int:
+        """Reads that wait for the origin say nothing of the caches, which still have most keys."""
+        waits = self.origin.writes if write and self.origin.hosts else self.placement.held
+        while waits and waits[0].over:
+            waits.popleft()
+        return self.now - waits[0].born if waits else 0
 
     def origin_lag(self) -> int:
         return max((host.lag for host in self.origin.hosts), default=0)
