--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -91,7 +91,7 @@
         self.total += 1.0
         if tenant:
             self.asked[req.tenant] += 1.0
-        age = desk.oldest_wait(req.write)
+        age = desk.oldest_wait()
         if (age > desk.target // 4) != self.pressed:
             self.pressed = not self.pressed
             desk.port.log(f"overload {'on' if self.pressed else 'off'}: oldest held {age // 1000} ms")
@@ -396,7 +396,7 @@
         if host.heard < sent.at:  # nothing at all heard since: it stalls or died before the list says so
             self.shun(host, desk.patience())
         other = desk.placement.choose(req)
-        if req.out == 1 and other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
+        if req.out == 1 and not desk.admission.pressed and other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
             other.credit -= 1.0
             self.take(req, other)
 
@@ -592,12 +592,14 @@
         if not req.over and not req.out and len(req.sent) == sent:
             self.finish(req)
 
-    def oldest_wait(self, write: bool) -> int:
-        """Reads that wait for the origin say nothing of the caches, which still have most keys."""
-        waits = self.origin.writes if write and self.origin.hosts else self.placement.held
-        while waits and waits[0].over:
-            waits.popleft()
-        return self.now - waits[0].born if waits else 0
+    def oldest_wait(self) -> int:
+        oldest = self.now
+        for waits in (self.placement.held, self.origin.writes, self.origin.reads):
+            while waits and waits[0].over:
+                waits.popleft()
+            if waits and waits[0].born < oldest:
+                oldest = waits[0].born
+        return self.now - oldest
 
     def origin_lag(self) -> int:
         return max((host.lag for host in self.origin.hosts), default=0)
