--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -84,19 +84,25 @@
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
-        self.total, self.pressed = 0.0, False
+        self.total, self.pressed, self.shed = 0.0, False, 0.0
 
     def take(self, req: Req, host: Host | None = None) -> None:
-        desk, tenant = self.desk, desk_tenant(self.desk, req)
+        desk = self.desk
         self.total += 1.0
-        if tenant:
+        if req.tenant in self.asked:
             self.asked[req.tenant] += 1.0
+            part = self.asked[req.tenant] / self.total / desk.terms.tenants[req.tenant].share
+            if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
+                return desk.finish(req)
         age = desk.oldest_wait()
         if (age > desk.target // 4) != self.pressed:
             self.pressed = not self.pressed
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: oldest held {age // 1000} ms")
-        if age > desk.target // 2 or (self.pressed and tenant and
-                                      self.asked[req.tenant] > tenant.share * self.total * 1.1 + 2):
+            origin = desk.origin
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: oldest held {age // 1000} ms, held "
+                          f"{len(desk.placement.held)} + {len(origin.writes)} writes + {len(origin.reads)} reads, "
+                          f"shed {self.shed:.2f}, limit {sum(h.limit for h in origin.hosts):.1f}, "
+                          f"lag {desk.origin_lag() // 1000} ms")
+        if age > desk.target // 2:
             return desk.finish(req)
         self.next.take(req, host)
 
@@ -104,16 +110,13 @@
         if not req.over and not req.out:
             self.desk.finish(req)
 
-    def fade(self) -> None:
+    def tick(self) -> None:
+        self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
         self.total *= 0.8
         for name in self.asked:
             self.asked[name] *= 0.8
 
 
-def desk_tenant(desk: Balancer, req: Req) -> Any:
-    return desk.terms.tenants.get(req.tenant)
-
-
 class Merging(Stage):
     """One fetch a key at a time: later reqs for the key wait for it and then ask the cache."""
 
@@ -566,7 +569,7 @@
             self.port.wake(self.woken_at - self.now, self.woken_at)
 
     def tick(self, _: None) -> None:
-        self.admission.fade()
+        self.admission.tick()
         self.placement.fade()
         self.placement.redraw()
         self.placement.pump()
