--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -95,13 +95,8 @@
             if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
                 return desk.finish(req)
         age = desk.oldest_wait()
-        if (age > desk.target // 4) != self.pressed:
-            self.pressed = not self.pressed
-            origin = desk.origin
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: oldest held {age // 1000} ms, held "
-                          f"{len(desk.placement.held)} + {len(origin.writes)} writes + {len(origin.reads)} reads, "
-                          f"shed {self.shed:.2f}, limit {sum(h.limit for h in origin.hosts):.1f}, "
-                          f"lag {desk.origin_lag() // 1000} ms")
+        if age > desk.target // 4 and not self.pressed:
+            self.press(True, age)
         if age > desk.target // 2:
             return desk.finish(req)
         self.next.take(req, host)
@@ -110,7 +105,16 @@
         if not req.over and not req.out:
             self.desk.finish(req)
 
+    def press(self, pressed: bool, age: int) -> None:
+        desk, origin, self.pressed = self.desk, self.desk.origin, pressed
+        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, held "
+                      f"{len(desk.placement.held)} for caches, {len(origin.writes) + len(origin.reads)} for the origin "
+                      f"with limit {sum(h.limit for h in origin.hosts):.0f}, shed {self.shed:.2f}")
+
     def tick(self) -> None:
+        age = self.desk.oldest_wait()
+        if self.pressed and age < self.desk.target // 8:
+            self.press(False, age)
         self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
         self.total *= 0.8
         for name in self.asked:
@@ -431,7 +435,7 @@
             if host.lag > self.desk.target * 2 // 5:
                 self.cut(host, 0.9)
             elif host.out >= host.limit // 2:
-                host.limit += 1.0 / host.limit
+                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # slow start
         elif sent.verdict == "full":
             host.heard, host.sends = now, host.sends + 1
             self.cut(host, 0.7)
