--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -341,7 +341,7 @@
         waits = self.writes if req.write else self.reads
         lag, slots = self.desk.origin_lag(), sum(host.limit for host in self.hosts)
         ahead = len(self.writes) + (0 if req.write else len(self.reads))
-        last = req.due if req.rule_set.late_value else req.born + req.rule_set.response_target
+        last = min(req.due, req.born + req.rule_set.response_target)
         if not slots or self.desk.now + lag * (1 + ahead / slots) > last:
             return self.desk.finish(req)
         waits.append(req)
@@ -591,7 +591,7 @@
 
     def hold(self, req: Req) -> None:
         """Waits with nothing out; given up while a late answer could still be of use to nobody."""
-        last = req.due - 20_000 if req.rule_set.late_value else req.born + req.rule_set.response_target
+        last = req.born + req.rule_set.response_target
         self.later(max(0, min(last, req.due - 20_000) - self.now), self.give_up, (req, len(req.sent)))
 
     def give_up(self, what: tuple[Req, int]) -> None:
