--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -12,6 +12,7 @@
 from binascii import crc_hqx
 from collections import deque
 from heapq import heappop, heappush
+from itertools import accumulate
 from random import Random
 from typing import Any, Callable, Iterable
 
@@ -214,12 +215,15 @@
             return False
         return now >= host.warm_at or self.budget(host) >= 1.0
 
+    def part(self, host: Host) -> float:
+        """How much of a cold host is sure to be there."""
+        terms, left = self.desk.terms, host.warm_at - self.desk.now
+        return 1.0 if left <= 0 else 1.0 - (1.0 - terms.cold_from) * left / terms.warm_after
+
     def budget(self, host: Host) -> float:
-        """A cold host earns its part of this balancer's own sends, cut to what it can do: all parts together
+        """A cold host earns its part of this balancer's own reqs, cut to what it can do: all parts together
         stay below its present capacity however traffic lies over the balancers."""
-        terms = self.desk.terms
-        part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
-        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
+        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * self.part(host) * host.rating / self.heft)
         host.seen = self.asked
         return host.tokens
 
@@ -267,7 +271,9 @@
         for host in [host for host in ready if host not in ring]:
             i = sum(other.id < host.id for other in ring)
             sides = ring[max(i - 1, 0):i + 1]
-            host.kin = max(sides, key=lambda other: (other.sends, other.size))
+            host.kin = max(sides, key=lambda other: other.size)
+            if len(sides) > 1 and abs(sides[0].sends - sides[1].sends) ** 2 > 9 * (sides[0].sends + sides[1].sends):
+                host.kin = max(sides, key=lambda other: other.sends)  # busier beyond what chance explains
             host.size = host.kin.size // 2
             host.kin.size -= host.size
             host.seen = self.asked
@@ -275,11 +281,18 @@
         self.cut()
 
     def cut(self) -> None:
-        self.cuts, at = [], 0
-        for host in self.ring:
-            at += host.size
-            self.cuts.append(at)
-        self.heft = sum(host.rating for host in self.ring) or 1.0
+        """A cold host's range grows with its warmth from the border; the neighbour it came from keeps the rest."""
+        ring = self.ring
+        sizes = [host.size for host in ring]
+        for i, host in enumerate(ring):
+            sides = ring[max(i - 1, 0):i] + ring[i + 1:i + 2]
+            if sides and self.desk.now < host.warm_at:
+                near = host.kin if host.kin in sides else max(sides, key=self.part)
+                lent = int(host.size * (1.0 - self.part(host)))
+                sizes[i] -= lent
+                sizes[ring.index(near)] += lent
+        self.cuts = list(accumulate(sizes))
+        self.heft = sum(host.rating for host in ring) or 1.0
 
     def redraw(self) -> None:
         desk, ring = self.desk, self.ring
@@ -400,7 +413,9 @@
         if sent.verdict or req.over or req.streaming:
             return
         host, desk = sent.host, self.desk
-        if host.heard < sent.at:  # nothing at all heard since: it stalls or died before the list says so
+        if host.heard >= sent.at:  # it answers others: slow work is no reason for a copy that will miss
+            return desk.later(desk.patience(), self.late, pair)
+        if host.out > 1:  # nothing heard of several: it stalls or died before the list says so
             self.shun(host, desk.patience())
         other = desk.placement.choose(req)
         if req.out == 1 and not desk.admission.pressed and other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
@@ -576,6 +591,8 @@
         self.admission.tick()
         self.placement.fade()
         self.placement.redraw()
+        if any(self.now < host.warm_at + TICK for host in self.placement.ring):
+            self.placement.cut()
         self.placement.pump()
         self.origin.pump()
         self.later(TICK, self.tick, None)
