--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -29,7 +29,7 @@
     """All that is known of one cache host, or of the origin."""
 
     __slots__ = ("id", "state", "since", "zone", "cell", "rating", "size", "kin", "sends", "rate", "out", "limit",
-                 "lag", "cut_at", "heard", "shun_until", "strikes", "credit", "warm_at", "tokens", "seen")
+                 "lag", "cut_at", "heard", "shun_until", "strikes", "credit", "warm_at", "tokens", "seen", "counted")
 
     def __init__(self, id: str, limit: float) -> None:
         self.id, self.state, self.size, self.kin = id, "", 0, None
@@ -38,7 +38,7 @@
     def reset(self, limit: float) -> None:
         """A process that has just started owes nothing to its forerunner."""
         self.out = self.sends = self.lag = self.cut_at = self.heard = self.shun_until = self.strikes = 0
-        self.warm_at = self.seen = 0
+        self.warm_at = self.seen = self.counted = 0
         self.limit, self.credit, self.tokens, self.rate = limit, 2.0, 0.0, -1.0
 
 
@@ -276,7 +276,7 @@
                 host.kin = max(sides, key=lambda other: other.sends)  # busier beyond what chance explains
             host.size = host.kin.size // 2
             host.kin.size -= host.size
-            host.seen = self.asked
+            host.seen, host.counted = self.asked, self.desk.now
             ring.insert(i, host)
         self.cut()
 
@@ -301,9 +301,11 @@
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
-        counts = {host.id: host.rate if told else float(host.sends) for host in warm if not told or host.rate >= 0}
+        heard = [host for host in warm if not told or host.rate >= 0]
+        # a joiner has had less time to be asked: what counts is the sends in the time it was there
+        counts = {host: host.rate if told else host.sends / (now - host.counted) for host in heard}
         mean = sum(counts.values()) / len(counts) if counts else 0.0
-        loads = [counts.get(host.id, mean) for host in ring]
+        loads = [counts.get(host, mean) for host in ring]
         total = sum(loads)
         if total > 0:
             sizes = [SPACE / n + SPACE * (1 / n - load / total) for load in loads]
@@ -311,7 +313,7 @@
             sizes = [(size + host.size) / 2 for size, host in zip(sizes, ring)]
             self.resize([max(size, SPACE / n / 4) for size in sizes])
         for host in ring:
-            host.sends = 0
+            host.sends, host.counted = 0, now
         self.drawn_at = now
 
     def resize(self, sizes: list[float]) -> None:
