--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -407,7 +407,7 @@
             if now < host.warm_at:
                 host.tokens -= 1.0
             if req.rule_set.replayable and desk.terms.may_duplicate:
-                desk.later(desk.patience(), self.late, (req, sent))
+                desk.later(desk.patience(host), self.late, (req, sent))
         desk.port.dispatch(req.id, host.id, 0)
 
     def late(self, pair: tuple[Req, Sent]) -> None:
@@ -416,9 +416,9 @@
             return
         host, desk = sent.host, self.desk
         if host.heard >= sent.at:  # it answers others: slow work is no reason for a copy that will miss
-            return desk.later(desk.patience(), self.late, pair)
+            return desk.later(desk.patience(host), self.late, pair)
         if host.out > 1:  # nothing heard of several: it stalls or died before the list says so
-            self.shun(host, desk.patience())
+            self.shun(host, desk.patience(host))
         other = desk.placement.choose(req)
         if req.out == 1 and not desk.admission.pressed and other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
             other.credit -= 1.0
@@ -630,8 +630,8 @@
     def origin_lag(self) -> int:
         return max((host.lag for host in self.origin.hosts), default=0)
 
-    def patience(self) -> int:
-        return min(max(3 * self.pace, self.target // 10), self.target * 2 // 5)
+    def patience(self, host: Host) -> int:
+        return min(max(3 * self.pace, 3 * host.lag, self.target // 10), self.target * 3 // 5)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
