--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -459,6 +459,7 @@
             host.shun_until = max(host.shun_until, now + 50_000)
         elif sent.verdict in ("unconnected", "reset"):
             self.shun(host, 100_000)
+            self.cut(host, 0.7)  # a crowded host makes no connections in time either
         elif sent.verdict in ("timeout", "error"):
             self.cut(host, 0.7)
         self.prev.back(req, sent, note)
