--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -1,7 +1,7 @@
 """All decisions of the balancer.
 
 A host program makes one `Balancer` an instance, sets `now` (whole microseconds) before each call, and calls
-`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_stream`, `on_wake`, `on_probe` and `on_report` as things
+`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_stream`, `on_wake` and `on_report` as things
 happen. The balancer answers through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
 A req runs down the chain Admission, Merging, Placement, Origin, Dispatch; what comes back runs up it.
 """
@@ -53,13 +53,13 @@
 
 class Req:
     __slots__ = ("id", "rule_set", "tenant", "key", "slot", "write", "born", "due", "sent", "out", "over", "missed",
-                 "waited", "streaming")
+                 "streaming")
 
     def __init__(self, id: int, rule_set: RuleSet, tenant: str, key: int | None, slot: int, write: bool, born: int,
                  due: int) -> None:
         self.id, self.rule_set, self.tenant, self.key, self.slot, self.write = id, rule_set, tenant, key, slot, write
         self.born, self.due, self.sent, self.out = born, due, [], 0
-        self.over = self.missed = self.waited = self.streaming = False
+        self.over = self.missed = self.streaming = False
 
     def suspects(self) -> list[Sent]:
         """Dispatches that may have run or may yet run."""
@@ -75,8 +75,8 @@
     def take(self, req: Req, host: Host | None = None) -> None:
         self.next.take(req, host)
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
-        self.prev.back(req, sent, note)
+    def back(self, req: Req, sent: Sent) -> None:
+        self.prev.back(req, sent)
 
 
 class Admission(Stage):
@@ -102,7 +102,7 @@
             return desk.finish(req)
         self.next.take(req, host)
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
+    def back(self, req: Req, sent: Sent) -> None:
         if not req.over and not req.out:
             self.desk.finish(req)
 
@@ -139,19 +139,11 @@
                 self.fetches[req.key] = [req]
         self.next.take(req, host)
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
+    def back(self, req: Req, sent: Sent) -> None:
         if sent.verdict == "miss" and not (req.over or req.write or req.missed):
-            if note == 3 and not req.waited:  # another balancer fetches it: ask the cache again soon
-                req.waited = True
-                self.desk.hold(req)  # else it is lost where its time is up first
-                return self.desk.later(max(20_000, self.desk.origin_lag()), self.again, req)
             req.missed = True
             return self.take(req)
-        self.prev.back(req, sent, note)
-
-    def again(self, req: Req) -> None:
-        if not req.over and not req.out:
-            self.take(req)
+        self.prev.back(req, sent)
 
     def release(self, req: Req, filled: bool) -> None:
         """The leader is over: its followers ask the cache, or one of them fetches in its place."""
@@ -173,8 +165,6 @@
         self.cuts: list[int] = []   # where each range ends
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
         self.held: deque[Req] = deque()
-        self.heat: dict[int, int] = {}
-        self.spread: dict[int, int] = {}
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if self.desk.terms.origin_kind and (req.write or req.missed):
@@ -183,7 +173,6 @@
             return self.desk.finish(req)
         if not req.sent:
             self.asked += 1
-            self.heat[req.slot] = self.heat.get(req.slot, 0) + 1
         host = self.choose(req)
         if host is None:
             self.held.append(req)
@@ -195,8 +184,6 @@
         ring, now = self.ring, self.desk.now
         n = len(ring)
         i = bisect_right(self.cuts, req.slot)
-        if req.slot in self.spread:  # one key past a cache's capacity: no range size helps its owner
-            i = (i + self.desk.rng.randrange(min(n, self.spread[req.slot]))) % n
         owner = ring[i]
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         if self.room(owner) and owner not in tried:
@@ -215,27 +202,24 @@
             return False
         return now >= host.warm_at or self.budget(host) >= 1.0
 
-    def part(self, host: Host) -> float:
-        """How much of a cold host is sure to be there."""
-        terms, left = self.desk.terms, host.warm_at - self.desk.now
-        return 1.0 if left <= 0 else 1.0 - (1.0 - terms.cold_from) * left / terms.warm_after
-
     def budget(self, host: Host) -> float:
         """A cold host earns its part of this balancer's own reqs, cut to what it can do: all parts together
         stay below its present capacity however traffic lies over the balancers."""
-        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * self.part(host) * host.rating / self.heft)
+        terms = self.desk.terms
+        part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
+        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
         host.seen = self.asked
         return host.tokens
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
+    def back(self, req: Req, sent: Sent) -> None:
         self.pump()
         if sent.verdict in ("done", "cancelled", "timeout", "moot", "miss") or req.over or req.out:
-            return self.prev.back(req, sent, note)
+            return self.prev.back(req, sent)
         if self.desk.terms.origin_kind and (req.write or req.missed):
-            return self.prev.back(req, sent, note)
+            return self.prev.back(req, sent)
         host = self.choose(req)  # the dispatch came to nothing: another host, if the rule set and its credit allow
         if host is None or not self.desk.may_repeat(req, host) or host.credit < 1.0:
-            return self.prev.back(req, sent, note)
+            return self.prev.back(req, sent)
         host.credit -= 1.0
         self.next.take(req, host)
 
@@ -281,18 +265,8 @@
         self.cut()
 
     def cut(self) -> None:
-        """A cold host's range grows with its warmth from the border; the neighbour it came from keeps the rest."""
-        ring = self.ring
-        sizes = [host.size for host in ring]
-        for i, host in enumerate(ring):
-            sides = ring[max(i - 1, 0):i] + ring[i + 1:i + 2]
-            if sides and self.desk.now < host.warm_at:
-                near = host.kin if host.kin in sides else max(sides, key=self.part)
-                lent = int(host.size * (1.0 - self.part(host)))
-                sizes[i] -= lent
-                sizes[ring.index(near)] += lent
-        self.cuts = list(accumulate(sizes))
-        self.heft = sum(host.rating for host in ring) or 1.0
+        self.cuts = list(accumulate(host.size for host in self.ring))
+        self.heft = sum(host.rating for host in self.ring) or 1.0
 
     def redraw(self) -> None:
         desk, ring = self.desk, self.ring
@@ -326,18 +300,6 @@
         self.ring[-1].size += SPACE - last
         self.cut()
 
-    def fade(self) -> None:
-        """Which slots draw more than an even cache's part of the reqs."""
-        total, n = sum(self.heat.values()), len(self.ring)
-        if total < 20 * n:
-            return
-        spread = {slot: int(count * n / total) + 1 for slot, count in self.heat.items() if count >= total / n}
-        if spread.keys() != self.spread.keys():
-            top = max(self.heat.values())
-            self.desk.port.log(f"hot keys {len(spread)}: most asked {top} of {total} reqs on {n} caches")
-        self.spread, self.heat = spread, {}
-
-
 class Origin(Stage):
     """Writes and misses go to the origin within a limit that follows how it answers."""
 
@@ -367,14 +329,14 @@
         open_ = [host for host in self.hosts if host.out < host.limit and now >= host.shun_until]
         return min(open_, key=lambda host: host.out) if open_ else None
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
+    def back(self, req: Req, sent: Sent) -> None:
         if sent.host not in self.hosts:
-            return self.prev.back(req, sent, note)
+            return self.prev.back(req, sent)
         self.pump()
         if sent.verdict in ("full", "unconnected", "error", "reset") and not req.over and not req.out:
             if self.desk.may_repeat(req, sent.host) and len(req.sent) < 4:
                 return self.take(req)
-        self.prev.back(req, sent, note)
+        self.prev.back(req, sent)
 
     def pump(self) -> None:
         for waits in (self.writes, self.reads):
@@ -425,22 +387,15 @@
             self.take(req, other)
 
     def shun(self, host: Host, base: int) -> None:
-        """No new work for a while; a probe, or else a single req, tells when the host is back."""
+        """No new work for a while; then a single req tells whether the host is back."""
         desk, now = self.desk, self.desk.now
         if now >= host.shun_until:
             host.strikes = min(host.strikes + 1, 5)
             host.shun_until = now + (base << host.strikes)
             if host.strikes == 2:
-                desk.port.log(f"shun {host.id}: 2 strikes, {host.out} out, {desk.terms.may_probe and 'probed'}")
-            if desk.terms.may_probe:
-                desk.later(host.shun_until - now, self.probe, host)
-
-    def probe(self, host: Host) -> None:
-        if host.strikes and self.desk.hosts.get(host.id) is host:
-            host.shun_until = self.desk.now + self.desk.target  # until the probe tells
-            self.desk.port.probe(host.id)
+                desk.port.log(f"shun {host.id}: 2 strikes, {host.out} out")
 
-    def back(self, req: Req, sent: Sent, note: int) -> None:
+    def back(self, req: Req, sent: Sent) -> None:
         host, now = sent.host, self.desk.now
         if sent.verdict in ("done", "miss"):
             host.heard, host.shun_until, host.strikes = now, 0, 0
@@ -462,7 +417,7 @@
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
         elif sent.verdict in ("timeout", "error"):
             self.cut(host, 0.7)
-        self.prev.back(req, sent, note)
+        self.prev.back(req, sent)
 
     def cut(self, host: Host, by: float) -> None:
         """Lower the limit, at most once in the time that an answer takes."""
@@ -497,7 +452,7 @@
         self.reqs[id] = req
         self.admission.take(req)
 
-    def on_outcome(self, id: int, number: int, verdict: str, took: int, over: bool, note: int) -> None:
+    def on_outcome(self, id: int, number: int, verdict: str, over: bool) -> None:
         req = self.reqs.get(id)
         if req is None or number >= len(req.sent) or req.sent[number].verdict:
             return
@@ -507,7 +462,7 @@
         sent.host.out -= 1
         if over and not req.over:
             self.end(req)
-        self.sender.back(req, sent, note)
+        self.sender.back(req, sent)
         if req.over and not req.out:
             self.reqs.pop(id, None)
 
@@ -520,16 +475,6 @@
         if id in self.reqs:
             self.reqs[id].streaming = True
 
-    def on_probe(self, id: str, alive: bool, load: dict[str, float]) -> None:
-        self.on_report(id, load)
-        host = self.hosts.get(id)
-        if host is not None and host.strikes:
-            host.shun_until = self.now
-            if alive:
-                host.heard, host.strikes = self.now, 0
-            else:
-                self.sender.shun(host, 100_000)
-
     def on_report(self, host: str, load: dict[str, float]) -> None:
         if host in self.hosts and "tps" in load:
             self.hosts[host].rate = load["tps"]
@@ -592,10 +537,7 @@
 
     def tick(self, _: None) -> None:
         self.admission.tick()
-        self.placement.fade()
         self.placement.redraw()
-        if any(self.now < host.warm_at + TICK for host in self.placement.ring):
-            self.placement.cut()
         self.placement.pump()
         self.origin.pump()
         self.later(TICK, self.tick, None)
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -100,9 +100,8 @@
         _, req, left, write, rule_set, key, _, _, _, tenant = parts
         balancer.on_req(int(req), int(left), write == "1", rule_set, None if key == "-" else int(key), tenant)
     elif name == "ENDED":
-        _, req, number, host, verdict, took, over, note, report = parts
-        balancer.on_outcome(int(req), int(number), VERDICTS[verdict], int(took), over == "1",
-                            0 if note == "-" else int(note))
+        _, req, number, host, verdict, _, over, _, report = parts
+        balancer.on_outcome(int(req), int(number), VERDICTS[verdict], over == "1")
         if report != "-":
             balancer.on_report(host, load(report))
     elif name == "FIRED":
@@ -112,7 +111,7 @@
     elif name == "HANGUP":
         balancer.on_hangup(int(parts[1]))
     elif name == "STATUS_BACK":
-        balancer.on_probe(parts[1], VERDICTS[parts[2]] == "done", load(parts[4]))
+        balancer.on_report(parts[1], load(parts[4]))
     elif name == "BACKENDS_CHANGED":
         balancer.on_hosts(SCOPES[parts[1]], entries(more))
 
