--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -1,15 +1,15 @@
 """All decisions of the balancer.
 
 A host program makes one `Balancer` an instance, sets `now` (whole microseconds) before each call, and calls
-`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_stream`, `on_wake` and `on_report` as things
-happen. The balancer answers through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
+`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_stream`, `on_wake` and `on_report` as things happen.
+The balancer acts through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
 A req runs down the chain Admission, Merging, Placement, Origin, Dispatch; what comes back runs up it.
 """
 
 from __future__ import annotations
 
-from bisect import bisect_right
 from binascii import crc_hqx
+from bisect import bisect_right
 from collections import deque
 from heapq import heappop, heappush
 from itertools import accumulate
@@ -19,27 +19,29 @@
 from orchidgap.ports import Port
 from orchidgap.terms import RuleSet, ServiceTerms
 
-SPACE = 1 << 14  # b = 14: the slot count of the RESP cluster
+SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
 TICK = 500_000
+EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
+FIRST_LIMIT, LEAST_LIMIT = 8.0, 2.0  # dispatches out at one host
 UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
 
 
 class Host:
     """All that is known of one cache host, or of the origin."""
 
-    __slots__ = ("id", "state", "since", "zone", "cell", "rating", "size", "kin", "sends", "rate", "out", "limit",
-                 "lag", "cut_at", "heard", "shun_until", "strikes", "credit", "warm_at", "tokens", "seen", "counted")
+    __slots__ = ("id", "is_origin", "state", "since", "zone", "cell", "rating", "size", "out", "sends", "counted",
+                 "rate", "limit", "lag", "cut_at", "heard", "shun_until", "strikes", "credit", "warm_at", "tokens",
+                 "seen")
 
-    def __init__(self, id: str, limit: float) -> None:
-        self.id, self.state, self.size, self.kin = id, "", 0, None
-        self.reset(limit)
+    def __init__(self, id: str, is_origin: bool) -> None:
+        self.id, self.is_origin, self.since, self.size, self.out = id, is_origin, -1, 0, 0
 
-    def reset(self, limit: float) -> None:
+    def restart(self, now: int, asked: int) -> None:
         """A process that has just started owes nothing to its forerunner."""
-        self.out = self.sends = self.lag = self.cut_at = self.heard = self.shun_until = self.strikes = 0
-        self.warm_at = self.seen = self.counted = 0
-        self.limit, self.credit, self.tokens, self.rate = limit, 2.0, 0.0, -1.0
+        self.sends = self.lag = self.cut_at = self.heard = self.shun_until = self.strikes = self.warm_at = 0
+        self.limit, self.credit, self.tokens, self.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
+        self.counted, self.seen = now, asked
 
 
 class Sent:
@@ -58,7 +60,8 @@
     def __init__(self, id: int, rule_set: RuleSet, tenant: str, key: int | None, slot: int, write: bool, born: int,
                  due: int) -> None:
         self.id, self.rule_set, self.tenant, self.key, self.slot, self.write = id, rule_set, tenant, key, slot, write
-        self.born, self.due, self.sent, self.out = born, due, [], 0
+        self.born, self.due, self.out = born, due, 0
+        self.sent: list[Sent] = []
         self.over = self.missed = self.streaming = False
 
     def suspects(self) -> list[Sent]:
@@ -71,6 +74,23 @@
 
     def __init__(self, desk: Balancer) -> None:
         self.desk, self.next, self.prev = desk, self, self
+        self.held: deque[Req] = deque()
+
+    def choose(self, req: Req) -> Host | None:
+        raise NotImplementedError
+
+    def pump(self) -> None:
+        self.drain(self.held)
+
+    def drain(self, held: deque[Req]) -> None:
+        """Send on what is held, oldest first, as far as there is room."""
+        while held:
+            host = None if held[0].over else self.choose(held[0])
+            if host is None and not held[0].over:
+                return
+            req = held.popleft()
+            if host is not None:
+                self.next.take(req, host)
 
     def take(self, req: Req, host: Host | None = None) -> None:
         self.next.take(req, host)
@@ -93,6 +113,7 @@
         if req.tenant in self.asked:
             self.asked[req.tenant] += 1.0
             part = self.asked[req.tenant] / self.total / desk.terms.tenants[req.tenant].share
+            # a tenant over its share goes first, else its excess takes from those within theirs
             if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
                 return desk.finish(req)
         age = desk.oldest_wait()
@@ -100,17 +121,17 @@
             self.press(True, age)
         if age > desk.target // 2:
             return desk.finish(req)
-        self.next.take(req, host)
+        self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
         if not req.over and not req.out:
             self.desk.finish(req)
 
     def press(self, pressed: bool, age: int) -> None:
-        desk, origin, self.pressed = self.desk, self.desk.origin, pressed
-        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, held "
-                      f"{len(desk.placement.held)} for caches, {len(origin.writes) + len(origin.reads)} for the origin "
-                      f"with limit {sum(h.limit for h in origin.hosts):.0f}, shed {self.shed:.2f}")
+        desk, self.pressed = self.desk, pressed
+        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, held for caches "
+                      f"{len(desk.placement.held)}, for the origin {len(desk.origin.writes) + len(desk.origin.held)} "
+                      f"at limit {desk.origin.slots():.0f}, shed {self.shed:.2f}")
 
     def tick(self) -> None:
         age = self.desk.oldest_wait()
@@ -127,7 +148,7 @@
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
-        self.fetches: dict[int, list[Req]] = {}  # key: its leader, then the followers
+        self.fetches: dict[int | None, list[Req]] = {}  # by key: its leader, then the followers
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if not req.write and req.key is not None:
@@ -137,17 +158,17 @@
                 return self.desk.hold(req)
             if req.missed:
                 self.fetches[req.key] = [req]
-        self.next.take(req, host)
+        self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
         if sent.verdict == "miss" and not (req.over or req.write or req.missed):
-            req.missed = True
+            req.missed = True  # once only: the miss of a copy must not make the leader its own follower
             return self.take(req)
         self.prev.back(req, sent)
 
     def release(self, req: Req, filled: bool) -> None:
         """The leader is over: its followers ask the cache, or one of them fetches in its place."""
-        group = self.fetches.get(req.key) if req.key is not None else None
+        group = self.fetches.get(req.key)
         if group and group[0] is req:
             del self.fetches[req.key]
             for follower in group[1:]:
@@ -157,54 +178,48 @@
 
 
 class Placement(Stage):
-    """The range's owner serves the key; a neighbour only where the owner has no room, is shunned or is cold."""
+    """The range's owner serves the key; a neighbour only where the owner is shunned, cold or has no room."""
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
-        self.held: deque[Req] = deque()
 
     def take(self, req: Req, host: Host | None = None) -> None:
-        if self.desk.terms.origin_kind and (req.write or req.missed):
-            return self.next.take(req, None)
+        if req.write and self.desk.terms.origin_kind or req.missed:
+            return self.next.take(req)
         if not self.ring:
             return self.desk.finish(req)
         if not req.sent:
             self.asked += 1
         host = self.choose(req)
-        if host is None:
-            self.held.append(req)
-            self.desk.hold(req)
-        else:
-            self.next.take(req, host)
+        if host is not None:
+            return self.next.take(req, host)
+        self.held.append(req)
+        self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
-        ring, now = self.ring, self.desk.now
+        ring = self.ring
         n = len(ring)
         i = bisect_right(self.cuts, req.slot)
-        owner = ring[i]
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
-        if self.room(owner) and owner not in tried:
-            return owner
-        if owner.kin is not None and owner.kin.state == "up" and owner.kin not in tried and self.room(owner.kin):
-            return owner.kin
-        for step in range(1, n // 2 + 1):
+        for step in range(n // 2 + 1):
             for host in (ring[i - step], ring[(i + step) % n]):
-                if host not in tried and self.room(host):
+                if self.room(host) and host not in tried:
                     return host
         return None
 
     def room(self, host: Host) -> bool:
+        """A host that was shunned gets a single req first, which tells whether it is back."""
         now = self.desk.now
         if now < host.shun_until or host.out >= host.limit or (host.strikes and host.out):
             return False
         return now >= host.warm_at or self.budget(host) >= 1.0
 
     def budget(self, host: Host) -> float:
-        """A cold host earns its part of this balancer's own reqs, cut to what it can do: all parts together
-        stay below its present capacity however traffic lies over the balancers."""
+        """A cold host earns its part of this balancer's own reqs, cut to what it can do: all balancers' parts
+        together stay below its present capacity however traffic lies over them."""
         terms = self.desk.terms
         part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
         host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
@@ -213,36 +228,17 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.pump()
-        if sent.verdict in ("done", "cancelled", "timeout", "moot", "miss") or req.over or req.out:
-            return self.prev.back(req, sent)
-        if self.desk.terms.origin_kind and (req.write or req.missed):
-            return self.prev.back(req, sent)
-        host = self.choose(req)  # the dispatch came to nothing: another host, if the rule set and its credit allow
-        if host is None or not self.desk.may_repeat(req, host) or host.credit < 1.0:
-            return self.prev.back(req, sent)
-        host.credit -= 1.0
-        self.next.take(req, host)
-
-    def pump(self) -> None:
-        while self.held:
-            req = self.held[0]
-            if not req.over:
-                host = self.choose(req)
-                if host is None:
-                    return
-                self.held.popleft()
-                self.next.take(req, host)
-            else:
-                self.held.popleft()
+        if (sent.verdict in ("full", "unconnected", "error", "reset") and not req.over and not req.out
+                and not req.missed and not sent.host.is_origin and self.ring):
+            host = self.choose(req)
+            if host is not None and host.credit >= 1.0 and self.desk.may_repeat(req, host):
+                host.credit -= 1.0
+                return self.next.take(req, host)
+        self.prev.back(req, sent)
 
     def follow(self, ready: list[Host]) -> None:
-        """A list change: lost ranges go to their neighbours, a joiner halves the busier range beside it."""
+        """A list change: a lost range goes to its neighbours, a joiner halves the busier range beside it."""
         ring = self.ring
-        if not ring:
-            self.ring = ready
-            for i, host in enumerate(ready):
-                host.size = SPACE * (i + 1) // len(ready) - SPACE * i // len(ready)
-            return self.cut()
         for host in [host for host in ring if host not in ready]:
             i = ring.index(host)
             ring.remove(host)
@@ -251,16 +247,17 @@
                 left.size += host.size // 2
                 right.size += host.size - host.size // 2
         if not ring:
-            return self.follow(ready)
+            ring += ready
+            for i, host in enumerate(ready):
+                host.size = SPACE * (i + 1) // len(ready) - SPACE * i // len(ready)
         for host in [host for host in ready if host not in ring]:
             i = sum(other.id < host.id for other in ring)
             sides = ring[max(i - 1, 0):i + 1]
-            host.kin = max(sides, key=lambda other: other.size)
-            if len(sides) > 1 and abs(sides[0].sends - sides[1].sends) ** 2 > 9 * (sides[0].sends + sides[1].sends):
-                host.kin = max(sides, key=lambda other: other.sends)  # busier beyond what chance explains
-            host.size = host.kin.size // 2
-            host.kin.size -= host.size
-            host.seen, host.counted = self.asked, self.desk.now
+            giver = max(sides, key=lambda other: other.size)
+            if abs(sides[0].sends - sides[-1].sends) ** 2 > 9 * (sides[0].sends + sides[-1].sends):
+                giver = max(sides, key=lambda other: other.sends)  # busier beyond what chance explains
+            host.size = giver.size // 2
+            giver.size -= host.size
             ring.insert(i, host)
         self.cut()
 
@@ -268,109 +265,111 @@
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
 
-    def redraw(self) -> None:
-        desk, ring = self.desk, self.ring
-        n, now = len(ring), desk.now
-        if not n or now - self.drawn_at < REDRAW_GAP or sum(h.sends for h in ring) < REDRAW_SENDS * n:
+    def tick(self) -> None:
+        """Redraw all ranges by the document's formula, where enough has been counted."""
+        ring, now = self.ring, self.desk.now
+        n = len(ring)
+        if not n or now - self.drawn_at < REDRAW_GAP or sum(host.sends for host in ring) < REDRAW_SENDS * n:
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
-        heard = [host for host in warm if not told or host.rate >= 0]
         # a joiner has had less time to be asked: what counts is the sends in the time it was there
-        counts = {host: host.rate if told else host.sends / (now - host.counted) for host in heard}
+        counts = {host: host.rate if told else host.sends / (now - host.counted)
+                  for host in warm if not told or host.rate >= 0}
         mean = sum(counts.values()) / len(counts) if counts else 0.0
         loads = [counts.get(host, mean) for host in ring]
         total = sum(loads)
         if total > 0:
-            sizes = [SPACE / n + SPACE * (1 / n - load / total) for load in loads]
             # half way only: a size that starts anew from the even share springs back, and the table swings
-            sizes = [(size + host.size) / 2 for size, host in zip(sizes, ring)]
-            self.resize([max(size, SPACE / n / 4) for size in sizes])
+            sizes = [(host.size + SPACE / n + SPACE * (1 / n - load / total)) / 2 for host, load in zip(ring, loads)]
+            for host, size in zip(ring, whole_sizes(sizes)):
+                host.size = size
+            self.cut()
         for host in ring:
             host.sends, host.counted = 0, now
         self.drawn_at = now
 
-    def resize(self, sizes: list[float]) -> None:
-        floor, scale = SPACE / len(sizes) / 4, SPACE / sum(sizes)
-        at, last = 0.0, 0
-        for host, size in zip(self.ring, sizes):
-            at += max(floor, size * scale) if scale >= 1 else size * scale
-            host.size = min(SPACE, round(at)) - last
-            last += host.size
-        self.ring[-1].size += SPACE - last
-        self.cut()
+
+def whole_sizes(sizes: list[float]) -> list[int]:
+    """Sizes under a quarter of the even share are raised to it, the rest rescaled; the sum is the whole space."""
+    floor = SPACE / len(sizes) / 4
+    raised: set[int] = set()
+    while low := {i for i, size in enumerate(sizes) if size < floor and i not in raised}:
+        raised |= low
+        rest = sum(size for i, size in enumerate(sizes) if i not in raised)
+        scale = (SPACE - floor * len(raised)) / rest
+        sizes = [floor if i in raised else size * scale for i, size in enumerate(sizes)]
+    ends = [round(end * SPACE / sum(sizes)) for end in accumulate(sizes)]
+    return [end - start for start, end in zip([0] + ends, ends)]
+
 
 class Origin(Stage):
-    """Writes and misses go to the origin within a limit that follows how it answers."""
+    """Writes and misses go to the origin within a limit that follows how it answers; writes first."""
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.hosts: list[Host] = []
         self.writes: deque[Req] = deque()
-        self.reads: deque[Req] = deque()
 
     def take(self, req: Req, host: Host | None = None) -> None:
+        host = host or self.choose(req)
         if host is not None:
             return self.next.take(req, host)
-        host = self.choose(req)
-        if host is not None:
-            return self.next.take(req, host)
-        waits = self.writes if req.write else self.reads
-        lag, slots = self.desk.origin_lag(), sum(host.limit for host in self.hosts)
-        ahead = len(self.writes) + (0 if req.write else len(self.reads))
+        held = self.writes if req.write else self.held
+        ahead = len(self.writes) + (0 if req.write else len(self.held))
         last = min(req.due, req.born + req.rule_set.response_target)
-        if not slots or self.desk.now + lag * (1 + ahead / slots) > last:
-            return self.desk.finish(req)
-        waits.append(req)
+        if not self.slots() or self.desk.now + self.lag() * (1 + ahead / self.slots()) > last:
+            return self.desk.finish(req)  # a quick deny, where waiting would end in one
+        held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
-        now = self.desk.now
-        open_ = [host for host in self.hosts if host.out < host.limit and now >= host.shun_until]
-        return min(open_, key=lambda host: host.out) if open_ else None
+        ready = [host for host in self.hosts if host.out < host.limit and self.desk.now >= host.shun_until]
+        return min(ready, key=lambda host: host.out) if ready else None
 
     def back(self, req: Req, sent: Sent) -> None:
-        if sent.host not in self.hosts:
-            return self.prev.back(req, sent)
         self.pump()
-        if sent.verdict in ("full", "unconnected", "error", "reset") and not req.over and not req.out:
-            if self.desk.may_repeat(req, sent.host) and len(req.sent) < 4:
+        if sent.host.is_origin and sent.verdict in ("full", "unconnected", "error", "reset"):
+            if not req.over and not req.out and self.desk.may_repeat(req, sent.host):
                 return self.take(req)
         self.prev.back(req, sent)
 
     def pump(self) -> None:
-        for waits in (self.writes, self.reads):
-            while waits:
-                req = waits[0]
-                if not req.over:
-                    host = self.choose(req)
-                    if host is None:
-                        return
-                    waits.popleft()
-                    self.next.take(req, host)
-                else:
-                    waits.popleft()
+        self.drain(self.writes)
+        if not self.writes:
+            self.drain(self.held)
+
+    def slots(self) -> float:
+        return sum(host.limit for host in self.hosts)
+
+    def lag(self) -> int:
+        return max((host.lag for host in self.hosts), default=0)
 
 
 class Dispatch(Stage):
-    """Sends, keeps each host's record, and sends a further copy where an answer is late."""
+    """Sends, keeps each host's record, and sends a further copy where a host has gone silent."""
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
-        now = desk.now
-        if len(req.sent) >= desk.terms.max_dispatches:
-            return desk.finish(req)
-        sent = Sent(host, now)
+        if host is None or len(req.sent) >= desk.terms.max_dispatches:
+            return None if req.out else desk.finish(req)
+        sent = Sent(host, desk.now)
         req.sent.append(sent)
         req.out += 1
         host.out += 1
-        if host.size:
+        until = 0
+        if not host.is_origin:
             host.sends += 1
-            if now < host.warm_at:
-                host.tokens -= 1.0
-            if req.rule_set.replayable and desk.terms.may_duplicate:
-                desk.later(desk.patience(host), self.late, (req, sent))
-        desk.port.dispatch(req.id, host.id, 0)
+            host.tokens -= 1.0
+            if desk.terms.may_duplicate:
+                desk.later(self.patience(host), self.late, (req, sent))
+            elif req.rule_set.replayable:
+                until = min(req.due, desk.now + 4 * self.patience(host))
+        desk.port.dispatch(req.id, host.id, until)
+
+    def patience(self, host: Host) -> int:
+        target = self.desk.target
+        return min(max(3 * self.desk.pace, 3 * host.lag, target // 10), target * 3 // 5)
 
     def late(self, pair: tuple[Req, Sent]) -> None:
         req, sent = pair
@@ -378,54 +377,57 @@
             return
         host, desk = sent.host, self.desk
         if host.heard >= sent.at:  # it answers others: slow work is no reason for a copy that will miss
-            return desk.later(desk.patience(host), self.late, pair)
+            return desk.later(self.patience(host), self.late, pair)
         if host.out > 1:  # nothing heard of several: it stalls or died before the list says so
-            self.shun(host, desk.patience(host))
-        other = desk.placement.choose(req)
-        if req.out == 1 and not desk.admission.pressed and other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
+            self.shun(host, self.patience(host))
+        other = desk.placement.choose(req) if req.out == 1 and not desk.admission.pressed else None
+        if other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
             other.credit -= 1.0
             self.take(req, other)
 
     def shun(self, host: Host, base: int) -> None:
-        """No new work for a while; then a single req tells whether the host is back."""
-        desk, now = self.desk, self.desk.now
-        if now >= host.shun_until:
+        """No new work for a while, longer each time it is silent again."""
+        if self.desk.now >= host.shun_until:
             host.strikes = min(host.strikes + 1, 5)
-            host.shun_until = now + (base << host.strikes)
+            host.shun_until = self.desk.now + (base << host.strikes)
             if host.strikes == 2:
-                desk.port.log(f"shun {host.id}: 2 strikes, {host.out} out")
+                self.desk.port.log(f"shun {host.id}: silent twice, {host.out} out, lag {host.lag // 1000} ms")
 
     def back(self, req: Req, sent: Sent) -> None:
-        host, now = sent.host, self.desk.now
-        if sent.verdict in ("done", "miss"):
+        host, now, verdict = sent.host, self.desk.now, sent.verdict
+        if verdict in ("done", "miss"):
+            if host.strikes > 1:
+                self.desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
             took = now - sent.at
             host.lag += (took - host.lag) // 8 if host.lag else took
-            if sent.verdict == "done" and host.size:
+            if verdict == "done" and not host.is_origin:
                 self.desk.pace += (took - self.desk.pace) // 16
             if host.lag > self.desk.target * 2 // 5:
                 self.cut(host, 0.9)
             elif host.out >= host.limit // 2:
-                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # slow start
-        elif sent.verdict == "full":
+                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # slow start, else the first seconds are lost
+        elif verdict == "full":
             host.heard, host.sends = now, host.sends + 1
-            self.cut(host, 0.7)
             host.shun_until = max(host.shun_until, now + 50_000)
-        elif sent.verdict in ("unconnected", "reset"):
+            self.cut(host, 0.7)
+        elif verdict in ("unconnected", "reset"):
             self.shun(host, 100_000)
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
-        elif sent.verdict in ("timeout", "error"):
+        elif verdict in ("timeout", "error"):
             self.cut(host, 0.7)
         self.prev.back(req, sent)
 
     def cut(self, host: Host, by: float) -> None:
         """Lower the limit, at most once in the time that an answer takes."""
         if self.desk.now - host.cut_at > host.lag:
-            host.limit, host.cut_at = max(2.0, host.limit * by), self.desk.now
+            host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * by), self.desk.now
 
 
 class Balancer:
+    """The door: ids come in here; the stages share its clock, chance and agenda."""
+
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
         self.terms, self.port, self.rng, self.now = terms, port, Random(seed), now
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
@@ -433,18 +435,17 @@
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
         self.agenda: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.count = self.woken_at = 0
-        self.failures, self.asking = 0, False
+        self.entries = self.woken_at = self.failures = self.probed = 0
+        self.asking = False
         self.admission, self.merging = Admission(self), Merging(self)
-        self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
+        self.placement, self.origin = Placement(self), Origin(self)
+        self.sender = Dispatch(self)
         chain = [self.admission, self.merging, self.placement, self.origin, self.sender]
         for above, below in zip(chain, chain[1:]):
             above.next, below.prev = below, above
-        self.later(TICK, self.tick, None)
+        self.later(TICK, self.tick)
         if terms.subscribes:
-            self.ask_soon(min(terms.ask_within // 8, 1_000_000))
-
-    # what happens
+            self.ask_soon(terms.ask_within // 10)
 
     def on_req(self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str) -> None:
         slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
@@ -460,24 +461,23 @@
         sent.verdict = verdict
         req.out -= 1
         sent.host.out -= 1
-        if over and not req.over:
+        if over:
             self.end(req)
         self.sender.back(req, sent)
         if req.over and not req.out:
             self.reqs.pop(id, None)
 
     def on_hangup(self, id: int) -> None:
-        req = self.reqs.get(id)
-        if req is not None and not req.over:
-            self.end(req)
+        if id in self.reqs:
+            self.end(self.reqs[id])
 
-    def on_stream(self, id: int, number: int) -> None:
+    def on_stream(self, id: int) -> None:
         if id in self.reqs:
             self.reqs[id].streaming = True
 
-    def on_report(self, host: str, load: dict[str, float]) -> None:
-        if host in self.hosts and "tps" in load:
-            self.hosts[host].rate = load["tps"]
+    def on_report(self, id: str, load: dict[str, float]) -> None:
+        if id in self.hosts:
+            self.hosts[id].rate = load.get("tps", self.hosts[id].rate)
 
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         if scope == "failed":
@@ -485,33 +485,24 @@
             return self.ask_soon(min(self.terms.ask_within // 4, 1_000_000 << min(self.failures, 3)))
         if scope != "recalled":
             self.failures = 0
-        listed = set()
+        gone = set() if scope == "changes" else set(self.hosts)
         for id, state, since, zone, kind, cell, rating in entries:
-            listed.add(id)
             if state == "gone":
-                if id in self.hosts:
-                    self.hosts.pop(id).state = "gone"
+                gone.add(id)
                 continue
-            is_origin = kind == self.terms.origin_kind
-            host = self.hosts.get(id)
-            if host is None:
-                host = self.hosts[id] = Host(id, 8.0)
-                if is_origin:
-                    self.origin.hosts.append(host)
-            elif since != host.since:
-                out = host.out
-                host.reset(8.0)
-                host.out, host.seen = out, self.placement.asked
-            host.state, host.since, host.zone, host.cell, host.rating = state, since, zone, cell, rating
-            if since and self.now < since + self.terms.warm_after and not is_origin:
-                host.warm_at = since + self.terms.warm_after
-        if scope in ("whole", "recalled"):
-            for id in [id for id in self.hosts if id not in listed]:
-                self.hosts.pop(id).state = "gone"
-        origins = [host for host in self.origin.hosts if self.hosts.get(host.id) is host and host.state == "up"]
-        self.origin.hosts = origins
-        ready = [host for _, host in sorted(self.hosts.items()) if host.state == "up" and host not in origins]
-        self.placement.follow(ready)
+            gone.discard(id)
+            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind))
+            if since != host.since:
+                host.since = since
+                host.restart(self.now, self.placement.asked)
+                if since and not host.is_origin:
+                    host.warm_at = since + self.terms.warm_after
+            host.state, host.zone, host.cell, host.rating = state, zone, cell, rating
+        for id in gone & self.hosts.keys():
+            del self.hosts[id]
+        ready = [host for _, host in sorted(self.hosts.items()) if host.state == "up"]
+        self.origin.hosts = [host for host in ready if host.is_origin]
+        self.placement.follow([host for host in ready if not host.is_origin])
         self.placement.pump()
         self.origin.pump()
 
@@ -523,38 +514,40 @@
             act(what)
         self.arm()
 
-    # what all stages use
-
-    def later(self, delay: int, act: Callable[[Any], None], what: Any) -> None:
-        self.count += 1
-        heappush(self.agenda, (self.now + delay, self.count, act, what))
+    def later(self, delay: int, act: Callable[[Any], None], what: Any = None) -> None:
+        self.entries += 1
+        heappush(self.agenda, (self.now + delay, self.entries, act, what))
         self.arm()
 
     def arm(self) -> None:
-        if self.agenda and (not self.woken_at or self.agenda[0][0] < self.woken_at - 10_000):
-            self.woken_at = max(self.now, self.agenda[0][0]) + 10_000
+        if self.agenda and (not self.woken_at or self.agenda[0][0] < self.woken_at - EARLY // 2):
+            self.woken_at = max(self.now, self.agenda[0][0]) + EARLY // 2
             self.port.wake(self.woken_at - self.now, self.woken_at)
 
     def tick(self, _: None) -> None:
         self.admission.tick()
-        self.placement.redraw()
+        self.placement.tick()
         self.placement.pump()
         self.origin.pump()
-        self.later(TICK, self.tick, None)
+        if self.terms.probes_rate and self.placement.ring:  # one cache a tick, in turn
+            self.probed = (self.probed + 1) % len(self.placement.ring)
+            self.port.probe(self.placement.ring[self.probed].id)
+        self.later(TICK, self.tick)
 
     def ask_soon(self, within: int) -> None:
+        """Ask for the list at a random time: instances that start or fail together must not ask together."""
         if not self.asking:
             self.asking = True
-            self.later(self.rng.randrange(max(1, within)), self.ask, None)
+            self.later(self.rng.randrange(within + 1), self.ask)
 
     def ask(self, _: None) -> None:
         self.asking = False
         self.port.subscribe()
 
     def hold(self, req: Req) -> None:
-        """Waits with nothing out; given up while a late answer could still be of use to nobody."""
-        last = req.born + req.rule_set.response_target
-        self.later(max(0, min(last, req.due - 20_000) - self.now), self.give_up, (req, len(req.sent)))
+        """The req waits with nothing out, at most until its response target."""
+        last = min(req.born + req.rule_set.response_target, req.due - EARLY)
+        self.later(max(0, last - self.now), self.give_up, (req, len(req.sent)))
 
     def give_up(self, what: tuple[Req, int]) -> None:
         req, sent = what
@@ -563,49 +556,44 @@
 
     def oldest_wait(self) -> int:
         oldest = self.now
-        for waits in (self.placement.held, self.origin.writes, self.origin.reads):
-            while waits and waits[0].over:
-                waits.popleft()
-            if waits and waits[0].born < oldest:
-                oldest = waits[0].born
+        for held in (self.placement.held, self.origin.writes, self.origin.held):
+            while held and held[0].over:
+                held.popleft()
+            if held:
+                oldest = min(oldest, held[0].born)
         return self.now - oldest
 
-    def origin_lag(self) -> int:
-        return max((host.lag for host in self.origin.hosts), default=0)
-
-    def patience(self, host: Host) -> int:
-        return min(max(3 * self.pace, 3 * host.lag, self.target // 10), self.target * 3 // 5)
-
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
+        rule_set = req.rule_set
         if len(req.sent) >= self.terms.max_dispatches or (req.out and not self.terms.may_duplicate):
             return False
-        rule_set = req.rule_set
         suspects = [] if rule_set.replayable else req.suspects()
         if not suspects:
             return True
         if not rule_set.uniqued or self.now - suspects[0].at >= rule_set.repeat_window:
-            return False
+            return False  # it may have run, and nobody would drop the repeat
         return rule_set.group == "all" or all(
-            getattr(sent.host, rule_set.group, None) == getattr(host, rule_set.group) for sent in suspects)
+            getattr(sent.host, rule_set.group) == getattr(host, rule_set.group) for sent in suspects)
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        rule_set = req.rule_set
         if req.over:
             return
+        rule_set = req.rule_set
         if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
-            self.port.deny(req.id, self.terms.max_pause // 2 if self.terms.gives_pause else 0)
+            self.port.deny(req.id, self.terms.max_pause // 2)
         else:
             self.port.abort(req.id)
         self.end(req)
 
     def end(self, req: Req) -> None:
+        if req.over:
+            return
         req.over = True
         for number, sent in enumerate(req.sent):
             if not sent.verdict and self.terms.may_cancel:
                 self.port.cancel(req.id, number)
-        filled = any(sent.verdict == "done" for sent in req.sent)
         if not req.out:
             self.reqs.pop(req.id, None)
-        self.merging.release(req, filled)
+        self.merging.release(req, any(sent.verdict == "done" for sent in req.sent))
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -43,20 +43,16 @@
 
     rule_sets: dict[str, RuleSet]
     tenants: dict[str, Tenant]
-    instances: int
     origin_kind: str  # the kind whose entry is the origin; empty where the caches fetch for themselves
     subscribes: bool
     ask_within: int
-    reports_rate: bool  # probes and answers can tell a cache's reqs a second
+    probes_rate: bool  # a probe tells a cache's reqs a second, and nothing else does
     max_dispatches: int
     may_cancel: bool
     may_duplicate: bool
-    may_probe: bool
-    gives_pause: bool
-    max_pause: int
+    max_pause: int  # 0 where clients are told no comeback time
     cold_from: float
     warm_after: int
-    fall_multiple: float
 
     @classmethod
     def read(cls, pairs: Mapping[str, str]) -> ServiceTerms:
@@ -89,10 +85,10 @@
         kinds = pairs.get("kinds", "").split(",")
         aside = pairs.get("family-info.mode") == "aside" and 0 <= kind < len(kinds)
         return cls(
-            rule_sets, tenants, max(1, int(number("instances", 1))), kinds[kind] if aside else "",
+            rule_sets, tenants, kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
-            pairs.get("report.how", "off") != "off" and "tps" in pairs.get("report.fields", "").split(","),
+            pairs.get("report.how") == "on_probe" and yes("ceilings.probing")
+            and "tps" in pairs.get("report.fields", "").split(","),
             int(number("ceilings.most-dispatches", 3)), yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
-            yes("ceilings.probing"), yes("ceilings.retry-after"), int(number("ceilings.max-retry-after", 0)),
-            number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)),
-            number("guarantees.fall-multiple", 2.0))
+            int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
+            number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -107,7 +107,7 @@
     elif name == "FIRED":
         balancer.on_wake(int(parts[1]))
     elif name == "OPENED":
-        balancer.on_stream(int(parts[1]), int(parts[2]))
+        balancer.on_stream(int(parts[1]))
     elif name == "HANGUP":
         balancer.on_hangup(int(parts[1]))
     elif name == "STATUS_BACK":
