--- /dev/null
+++ b/orchidgap/chain.py
@@ -0,0 +1,70 @@
+"""What the stages of the decisions stand on: the chain and the agenda. Nothing is decided here."""
+
+from __future__ import annotations
+
+from collections import deque
+from heapq import heappop, heappush
+from typing import Any, Callable
+
+from orchidgap.ports import Port
+from orchidgap.records import Host, Req, Sent
+
+
+class Stage:
+    """One link of the chain: `take` passes a req down, `back` passes what came of a dispatch up."""
+
+    next: Stage
+    prev: Stage
+
+    def choose(self, req: Req) -> Host | None:
+        raise NotImplementedError
+
+    def drain(self, held: deque[Req]) -> None:
+        """Send on what is held, oldest first, as long as `choose` finds a host."""
+        while held:
+            host = None if held[0].over else self.choose(held[0])
+            if host is None and not held[0].over:
+                return
+            req = held.popleft()
+            if host is not None:
+                self.next.take(req, host)
+
+    def take(self, req: Req, host: Host | None = None) -> None:
+        self.next.take(req, host)
+
+    def back(self, req: Req, sent: Sent) -> None:
+        self.prev.back(req, sent)
+
+
+def link(*stages: Stage) -> None:
+    for above, below in zip(stages, stages[1:]):
+        above.next, below.prev = below, above
+
+
+class Agenda:
+    """What is due when, on one wake-up at a time; a wake-up can be `SLACK` late."""
+
+    SLACK = 10_000
+
+    def __init__(self, port: Port, now: int) -> None:
+        self.port, self.now = port, now
+        self.entries: list[tuple[int, int, Callable[[Any], None], Any]] = []
+        self.count = self.woken_at = 0
+
+    def later(self, delay: int, act: Callable[[Any], None], what: Any = None) -> None:
+        self.count += 1
+        heappush(self.entries, (self.now + delay, self.count, act, what))
+        self.arm()
+
+    def on_wake(self, token: int) -> None:
+        if token == self.woken_at:
+            self.woken_at = 0
+        while self.entries and self.entries[0][0] <= self.now:
+            _, _, act, what = heappop(self.entries)
+            act(what)
+        self.arm()
+
+    def arm(self) -> None:
+        if self.entries and (not self.woken_at or self.entries[0][0] < self.woken_at - self.SLACK):
+            self.woken_at = max(self.now, self.entries[0][0]) + self.SLACK
+            self.port.wake(self.woken_at - self.now, self.woken_at)
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -11,13 +11,14 @@
 from binascii import crc_hqx
 from bisect import bisect_right
 from collections import deque
-from heapq import heappop, heappush
 from itertools import accumulate
 from random import Random
-from typing import Any, Callable, Iterable
+from typing import Iterable
 
+from orchidgap.chain import Agenda, Stage, link
 from orchidgap.ports import Port
-from orchidgap.terms import RuleSet, ServiceTerms
+from orchidgap.records import Host, Req, Sent
+from orchidgap.terms import ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
@@ -27,83 +28,16 @@
 UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
 
 
-class Host:
-    """All that is known of one cache host, or of the origin."""
-
-    __slots__ = ("id", "is_origin", "state", "since", "zone", "cell", "rating", "size", "out", "sends", "counted",
-                 "rate", "limit", "lag", "cut_at", "heard", "shun_until", "strikes", "credit", "warm_at", "tokens",
-                 "seen")
-
-    def __init__(self, id: str, is_origin: bool) -> None:
-        self.id, self.is_origin, self.since, self.size, self.out = id, is_origin, -1, 0, 0
-
-    def restart(self, now: int, asked: int) -> None:
-        """A process that has just started owes nothing to its forerunner."""
-        self.sends = self.lag = self.cut_at = self.heard = self.shun_until = self.strikes = self.warm_at = 0
-        self.limit, self.credit, self.tokens, self.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
-        self.counted, self.seen = now, asked
-
-
-class Sent:
-    """One dispatch of a req."""
-
-    __slots__ = ("host", "at", "verdict")
-
-    def __init__(self, host: Host, at: int) -> None:
-        self.host, self.at, self.verdict = host, at, ""
-
-
-class Req:
-    __slots__ = ("id", "rule_set", "tenant", "key", "slot", "write", "born", "due", "sent", "out", "over", "missed",
-                 "streaming")
-
-    def __init__(self, id: int, rule_set: RuleSet, tenant: str, key: int | None, slot: int, write: bool, born: int,
-                 due: int) -> None:
-        self.id, self.rule_set, self.tenant, self.key, self.slot, self.write = id, rule_set, tenant, key, slot, write
-        self.born, self.due, self.out = born, due, 0
-        self.sent: list[Sent] = []
-        self.over = self.missed = self.streaming = False
-
-    def suspects(self) -> list[Sent]:
-        """Dispatches that may have run or may yet run."""
-        return [sent for sent in self.sent if sent.verdict not in UNRUN]
-
-
-class Stage:
-    """One link of the chain: `take` passes a req down, `back` passes what came of a dispatch up."""
-
-    def __init__(self, desk: Balancer) -> None:
-        self.desk, self.next, self.prev = desk, self, self
-        self.held: deque[Req] = deque()
-
-    def choose(self, req: Req) -> Host | None:
-        raise NotImplementedError
-
-    def pump(self) -> None:
-        self.drain(self.held)
-
-    def drain(self, held: deque[Req]) -> None:
-        """Send on what is held, oldest first, as far as there is room."""
-        while held:
-            host = None if held[0].over else self.choose(held[0])
-            if host is None and not held[0].over:
-                return
-            req = held.popleft()
-            if host is not None:
-                self.next.take(req, host)
-
-    def take(self, req: Req, host: Host | None = None) -> None:
-        self.next.take(req, host)
-
-    def back(self, req: Req, sent: Sent) -> None:
-        self.prev.back(req, sent)
+def suspects(req: Req) -> list[Sent]:
+    """Dispatches that may have run or may yet run."""
+    return [sent for sent in req.sent if sent.verdict not in UNRUN]
 
 
 class Admission(Stage):
     """Turns reqs away early while the oldest held one shows overload; gives what is left its final answer."""
 
     def __init__(self, desk: Balancer) -> None:
-        super().__init__(desk)
+        self.desk = desk
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
         self.total, self.pressed, self.shed = 0.0, False, 0.0
 
@@ -147,7 +81,7 @@
     """One fetch a key at a time: later reqs for the key wait for it and then ask the cache."""
 
     def __init__(self, desk: Balancer) -> None:
-        super().__init__(desk)
+        self.desk = desk
         self.fetches: dict[int | None, list[Req]] = {}  # by key: its leader, then the followers
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -181,9 +115,10 @@
     """The range's owner serves the key; a neighbour only where the owner is shunned, cold or has no room."""
 
     def __init__(self, desk: Balancer) -> None:
-        super().__init__(desk)
+        self.desk = desk
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
+        self.held: deque[Req] = deque()
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -227,7 +162,7 @@
         return host.tokens
 
     def back(self, req: Req, sent: Sent) -> None:
-        self.pump()
+        self.drain(self.held)
         if (sent.verdict in ("full", "unconnected", "error", "reset") and not req.over and not req.out
                 and not req.missed and not sent.host.is_origin and self.ring):
             host = self.choose(req)
@@ -307,9 +242,10 @@
     """Writes and misses go to the origin within a limit that follows how it answers; writes first."""
 
     def __init__(self, desk: Balancer) -> None:
-        super().__init__(desk)
+        self.desk = desk
         self.hosts: list[Host] = []
         self.writes: deque[Req] = deque()
+        self.held: deque[Req] = deque()  # reads that missed
 
     def take(self, req: Req, host: Host | None = None) -> None:
         host = host or self.choose(req)
@@ -349,6 +285,9 @@
 class Dispatch(Stage):
     """Sends, keeps each host's record, and sends a further copy where a host has gone silent."""
 
+    def __init__(self, desk: Balancer) -> None:
+        self.desk = desk
+
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
         if host is None or len(req.sent) >= desk.terms.max_dispatches:
@@ -425,24 +364,20 @@
             host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * by), self.desk.now
 
 
-class Balancer:
+class Balancer(Agenda):
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
-        self.terms, self.port, self.rng, self.now = terms, port, Random(seed), now
+        super().__init__(port, now)
+        self.terms, self.rng = terms, Random(seed)
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
         self.pace = self.target // 8  # how long caches take to answer
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
-        self.agenda: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self.entries = self.woken_at = self.failures = self.probed = 0
-        self.asking = False
+        self.failures, self.probed, self.asking = 0, 0, False
         self.admission, self.merging = Admission(self), Merging(self)
-        self.placement, self.origin = Placement(self), Origin(self)
-        self.sender = Dispatch(self)
-        chain = [self.admission, self.merging, self.placement, self.origin, self.sender]
-        for above, below in zip(chain, chain[1:]):
-            above.next, below.prev = below, above
+        self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
+        link(self.admission, self.merging, self.placement, self.origin, self.sender)
         self.later(TICK, self.tick)
         if terms.subscribes:
             self.ask_soon(terms.ask_within // 10)
@@ -494,40 +429,28 @@
             host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind))
             if since != host.since:
                 host.since = since
-                host.restart(self.now, self.placement.asked)
-                if since and not host.is_origin:
-                    host.warm_at = since + self.terms.warm_after
+                self.restart(host)
             host.state, host.zone, host.cell, host.rating = state, zone, cell, rating
         for id in gone & self.hosts.keys():
             del self.hosts[id]
         ready = [host for _, host in sorted(self.hosts.items()) if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
-        self.placement.pump()
+        self.placement.drain(self.placement.held)
         self.origin.pump()
 
-    def on_wake(self, token: int) -> None:
-        if token == self.woken_at:
-            self.woken_at = 0
-        while self.agenda and self.agenda[0][0] <= self.now:
-            _, _, act, what = heappop(self.agenda)
-            act(what)
-        self.arm()
-
-    def later(self, delay: int, act: Callable[[Any], None], what: Any = None) -> None:
-        self.entries += 1
-        heappush(self.agenda, (self.now + delay, self.entries, act, what))
-        self.arm()
-
-    def arm(self) -> None:
-        if self.agenda and (not self.woken_at or self.agenda[0][0] < self.woken_at - EARLY // 2):
-            self.woken_at = max(self.now, self.agenda[0][0]) + EARLY // 2
-            self.port.wake(self.woken_at - self.now, self.woken_at)
+    def restart(self, host: Host) -> None:
+        """A process that has just started owes nothing to its forerunner."""
+        host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = host.warm_at = 0
+        host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
+        host.counted, host.seen = self.now, self.placement.asked
+        if host.since and not host.is_origin:
+            host.warm_at = host.since + self.terms.warm_after
 
     def tick(self, _: None) -> None:
         self.admission.tick()
         self.placement.tick()
-        self.placement.pump()
+        self.placement.drain(self.placement.held)
         self.origin.pump()
         if self.terms.probes_rate and self.placement.ring:  # one cache a tick, in turn
             self.probed = (self.probed + 1) % len(self.placement.ring)
@@ -568,20 +491,20 @@
         rule_set = req.rule_set
         if len(req.sent) >= self.terms.max_dispatches or (req.out and not self.terms.may_duplicate):
             return False
-        suspects = [] if rule_set.replayable else req.suspects()
-        if not suspects:
+        doubtful = [] if rule_set.replayable else suspects(req)
+        if not doubtful:
             return True
-        if not rule_set.uniqued or self.now - suspects[0].at >= rule_set.repeat_window:
+        if not rule_set.uniqued or self.now - doubtful[0].at >= rule_set.repeat_window:
             return False  # it may have run, and nobody would drop the repeat
         return rule_set.group == "all" or all(
-            getattr(sent.host, rule_set.group) == getattr(host, rule_set.group) for sent in suspects)
+            getattr(sent.host, rule_set.group) == getattr(host, rule_set.group) for sent in doubtful)
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
         if req.over:
             return
         rule_set = req.rule_set
-        if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
+        if rule_set.replayable or not suspects(req) or (rule_set.uniqued and rule_set.group == "all"):
             self.port.deny(req.id, self.terms.max_pause // 2)
         else:
             self.port.abort(req.id)
