--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -16,6 +16,10 @@
     next: Stage
     prev: Stage
 
+    def __init__(self, desk: Any) -> None:
+        self.desk = desk
+        self.held: deque[Req] = deque()
+
     def choose(self, req: Req) -> Host | None:
         raise NotImplementedError
 
--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -4,6 +4,8 @@
 
 from orchidgap.terms import RuleSet
 
+UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
+
 
 class Host:
     """All that is known of one cache host, or of the origin."""
@@ -49,3 +51,7 @@
         self.write, self.born, self.due, self.out = write, born, due, 0
         self.sent: list[Sent] = []
         self.over = self.missed = self.streaming = False
+
+    def suspects(self) -> list[Sent]:
+        """Dispatches that may have run or may yet run."""
+        return [sent for sent in self.sent if sent.verdict not in UNRUN]
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -25,19 +25,14 @@
 TICK = 500_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT, LEAST_LIMIT = 8.0, 2.0  # dispatches out at one host
-UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
-
-
-def suspects(req: Req) -> list[Sent]:
-    """Dispatches that may have run or may yet run."""
-    return [sent for sent in req.sent if sent.verdict not in UNRUN]
+FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
 class Admission(Stage):
     """Turns reqs away early while the oldest held one shows overload; gives what is left its final answer."""
 
     def __init__(self, desk: Balancer) -> None:
-        self.desk = desk
+        super().__init__(desk)
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
         self.total, self.pressed, self.shed = 0.0, False, 0.0
 
@@ -58,13 +53,12 @@
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
-        if not req.over and not req.out:
-            self.desk.finish(req)
+        self.desk.give_up(req)
 
     def press(self, pressed: bool, age: int) -> None:
         desk, self.pressed = self.desk, pressed
-        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, held for caches "
-                      f"{len(desk.placement.held)}, for the origin {len(desk.origin.writes) + len(desk.origin.held)} "
+        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, for caches "
+                      f"{len(desk.placement.held)}, origin {len(desk.origin.writes)} + {len(desk.origin.held)} "
                       f"at limit {desk.origin.slots():.0f}, shed {self.shed:.2f}")
 
     def tick(self) -> None:
@@ -81,7 +75,7 @@
     """One fetch a key at a time: later reqs for the key wait for it and then ask the cache."""
 
     def __init__(self, desk: Balancer) -> None:
-        self.desk = desk
+        super().__init__(desk)
         self.fetches: dict[int | None, list[Req]] = {}  # by key: its leader, then the followers
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -115,11 +109,11 @@
     """The range's owner serves the key; a neighbour only where the owner is shunned, cold or has no room."""
 
     def __init__(self, desk: Balancer) -> None:
-        self.desk = desk
+        super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.held: deque[Req] = deque()
-        self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
+        self.heft = 1.0  # of all ready caches
+        self.asked, self.drawn_at = 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
@@ -163,9 +157,8 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.drain(self.held)
-        if (sent.verdict in ("full", "unconnected", "error", "reset") and not req.over and not req.out
-                and not req.missed and not sent.host.is_origin and self.ring):
-            host = self.choose(req)
+        if sent.verdict in FELL and not (req.over or req.out or req.missed or sent.host.is_origin):
+            host = self.choose(req) if self.ring else None
             if host is not None and host.credit >= 1.0 and self.desk.may_repeat(req, host):
                 host.credit -= 1.0
                 return self.next.take(req, host)
@@ -204,7 +197,7 @@
         """Redraw all ranges by the document's formula, where enough has been counted."""
         ring, now = self.ring, self.desk.now
         n = len(ring)
-        if not n or now - self.drawn_at < REDRAW_GAP or sum(host.sends for host in ring) < REDRAW_SENDS * n:
+        if not ring or now - self.drawn_at < REDRAW_GAP or sum(host.sends for host in ring) < REDRAW_SENDS * n:
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
@@ -213,11 +206,10 @@
                   for host in warm if not told or host.rate >= 0}
         mean = sum(counts.values()) / len(counts) if counts else 0.0
         loads = [counts.get(host, mean) for host in ring]
-        total = sum(loads)
-        if total > 0:
+        if total := sum(loads):
             # half way only: a size that starts anew from the even share springs back, and the table swings
-            sizes = [(host.size + SPACE / n + SPACE * (1 / n - load / total)) / 2 for host, load in zip(ring, loads)]
-            for host, size in zip(ring, whole_sizes(sizes)):
+            drawn = [SPACE / n + SPACE * (1 / n - load / total) for load in loads]
+            for host, size in zip(ring, whole_sizes([(host.size + new) / 2 for host, new in zip(ring, drawn)])):
                 host.size = size
             self.cut()
         for host in ring:
@@ -226,7 +218,7 @@
 
 
 def whole_sizes(sizes: list[float]) -> list[int]:
-    """Sizes under a quarter of the even share are raised to it, the rest rescaled; the sum is the whole space."""
+    """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
     floor = SPACE / len(sizes) / 4
     raised: set[int] = set()
     while low := {i for i, size in enumerate(sizes) if size < floor and i not in raised}:
@@ -242,10 +234,9 @@
     """Writes and misses go to the origin within a limit that follows how it answers; writes first."""
 
     def __init__(self, desk: Balancer) -> None:
-        self.desk = desk
+        super().__init__(desk)
         self.hosts: list[Host] = []
-        self.writes: deque[Req] = deque()
-        self.held: deque[Req] = deque()  # reads that missed
+        self.writes: deque[Req] = deque()  # reads that missed are held apart
 
     def take(self, req: Req, host: Host | None = None) -> None:
         host = host or self.choose(req)
@@ -254,7 +245,8 @@
         held = self.writes if req.write else self.held
         ahead = len(self.writes) + (0 if req.write else len(self.held))
         last = min(req.due, req.born + req.rule_set.response_target)
-        if not self.slots() or self.desk.now + self.lag() * (1 + ahead / self.slots()) > last:
+        slots, lag = self.slots(), max((host.lag for host in self.hosts), default=0)
+        if not slots or self.desk.now + lag * (1 + ahead / slots) > last:
             return self.desk.finish(req)  # a quick deny, where waiting would end in one
         held.append(req)
         self.desk.hold(req)
@@ -265,8 +257,8 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.pump()
-        if sent.host.is_origin and sent.verdict in ("full", "unconnected", "error", "reset"):
-            if not req.over and not req.out and self.desk.may_repeat(req, sent.host):
+        if sent.verdict in FELL and sent.host.is_origin and not (req.over or req.out):
+            if self.desk.may_repeat(req, sent.host):
                 return self.take(req)
         self.prev.back(req, sent)
 
@@ -278,20 +270,14 @@
     def slots(self) -> float:
         return sum(host.limit for host in self.hosts)
 
-    def lag(self) -> int:
-        return max((host.lag for host in self.hosts), default=0)
-
 
 class Dispatch(Stage):
     """Sends, keeps each host's record, and sends a further copy where a host has gone silent."""
 
-    def __init__(self, desk: Balancer) -> None:
-        self.desk = desk
-
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
         if host is None or len(req.sent) >= desk.terms.max_dispatches:
-            return None if req.out else desk.finish(req)
+            return desk.give_up(req)
         sent = Sent(host, desk.now)
         req.sent.append(sent)
         req.out += 1
@@ -346,16 +332,14 @@
             if host.lag > self.desk.target * 2 // 5:
                 self.cut(host, 0.9)
             elif host.out >= host.limit // 2:
-                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # slow start, else the first seconds are lost
-        elif verdict == "full":
-            host.heard, host.sends = now, host.sends + 1
-            host.shun_until = max(host.shun_until, now + 50_000)
-            self.cut(host, 0.7)
-        elif verdict in ("unconnected", "reset"):
-            self.shun(host, 100_000)
+                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
+        elif verdict in FELL or verdict == "timeout":
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
-        elif verdict in ("timeout", "error"):
-            self.cut(host, 0.7)
+            if verdict == "full":
+                host.heard, host.sends = now, host.sends + 1
+                host.shun_until = max(host.shun_until, now + 50_000)
+            elif verdict in ("unconnected", "reset"):
+                self.shun(host, 100_000)
         self.prev.back(req, sent)
 
     def cut(self, host: Host, by: float) -> None:
@@ -470,11 +454,10 @@
     def hold(self, req: Req) -> None:
         """The req waits with nothing out, at most until its response target."""
         last = min(req.born + req.rule_set.response_target, req.due - EARLY)
-        self.later(max(0, last - self.now), self.give_up, (req, len(req.sent)))
+        self.later(max(0, last - self.now), self.give_up, req)
 
-    def give_up(self, what: tuple[Req, int]) -> None:
-        req, sent = what
-        if not req.over and not req.out and len(req.sent) == sent:
+    def give_up(self, req: Req) -> None:
+        if not req.over and not req.out:
             self.finish(req)
 
     def oldest_wait(self) -> int:
@@ -491,7 +474,7 @@
         rule_set = req.rule_set
         if len(req.sent) >= self.terms.max_dispatches or (req.out and not self.terms.may_duplicate):
             return False
-        doubtful = [] if rule_set.replayable else suspects(req)
+        doubtful = [] if rule_set.replayable else req.suspects()
         if not doubtful:
             return True
         if not rule_set.uniqued or self.now - doubtful[0].at >= rule_set.repeat_window:
@@ -501,10 +484,8 @@
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        if req.over:
-            return
         rule_set = req.rule_set
-        if rule_set.replayable or not suspects(req) or (rule_set.uniqued and rule_set.group == "all"):
+        if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
             self.port.deny(req.id, self.terms.max_pause // 2)
         else:
             self.port.abort(req.id)
