--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Callable
 from heapq import heappop, heappush
-from typing import Any, Callable
+from itertools import pairwise
+from typing import TYPE_CHECKING, Any
 
 from orchidgap.ports import Port
 from orchidgap.records import Host, Req, Sent
 
+if TYPE_CHECKING:
+    from orchidgap.rules import Balancer
+
 
 class Stage:
     """One link of the chain: `take` passes a req down, `back` passes what came of a dispatch up."""
@@ -16,7 +21,7 @@
     next: Stage
     prev: Stage
 
-    def __init__(self, desk: Any) -> None:
+    def __init__(self, desk: Balancer) -> None:
         self.desk = desk
         self.held: deque[Req] = deque()
 
@@ -41,7 +46,7 @@
 
 
 def link(*stages: Stage) -> None:
-    for above, below in zip(stages, stages[1:]):
+    for above, below in pairwise(stages):
         above.next, below.prev = below, above
 
 
--- a/orchidgap/ports.py
+++ b/orchidgap/ports.py
@@ -9,11 +9,11 @@
 
 
 class Port(Protocol):
-    def dispatch(self, req: int, host: str, until: int) -> None:
-        """Send the req to a host; `until` is the clock time to give the dispatch up, 0 for the client timeout."""
+    def dispatch(self, req: int, host: str) -> None:
+        """Send the req to a host; its dispatches are numbered from 0 in this order."""
 
     def deny(self, req: int, pause: int) -> None:
-        """Final answer: turned away, a retry is harmless; `pause` asks the client to stay away, 0 for no advice."""
+        """Final answer: turned away, a retry is harmless, best after `pause` (0 for no advice)."""
 
     def abort(self, req: int) -> None:
         """Final answer: it failed, and nothing is promised about its effect."""
--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -2,55 +2,65 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass, field
+
 from orchidgap.terms import RuleSet
 
 UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
 
 
+@dataclass(slots=True, eq=False)
 class Host:
     """All that is known of one cache host, or of the origin."""
 
-    __slots__ = (
-        "id", "is_origin", "state", "since", "zone", "cell", "rating",  # as listed
-        "size",        # of its range, in slots
-        "sends",       # since the last redraw, a refusal for being full counted twice
-        "counted",     # since when they are counted
-        "rate",        # reqs a second by its last report, negative where unheard
-        "out",         # dispatches out
-        "limit",       # how many may be out
-        "cut_at",      # when the limit was last lowered
-        "lag",         # how long its answers take, smoothed
-        "heard",       # its last answer
-        "strikes",     # how often in a row it was found silent
-        "shun_until",
-        "credit",      # earned by answers, spent by further dispatches
-        "warm_at",     # cold until then
-        "tokens",      # what may go to it while cold
-        "seen")        # reqs that had been placed when the tokens were last counted
-
-    def __init__(self, id: str, is_origin: bool) -> None:
-        self.id, self.is_origin, self.since, self.size, self.out = id, is_origin, -1, 0, 0
+    id: str
+    is_origin: bool
+    state: str = ""
+    since: int = -1        # its last start, as listed; 0 for long ago
+    zone: str = ""
+    cell: str = ""
+    rating: float = 1.0
+    size: int = 0          # of its range, in slots
+    out: int = 0           # dispatches out
+    limit: float = 0.0     # how many may be out
+    cut_at: int = 0        # when the limit was last lowered
+    sends: int = 0         # since the last redraw, a refusal for being full counted twice
+    counted: int = 0       # since when they are counted
+    rate: float = -1.0     # reqs a second by its last report, negative where unheard
+    lag: int = 0           # how long its answers take, smoothed
+    heard: int = 0         # its last answer
+    strikes: int = 0       # how often in a row it was found silent
+    shun_until: int = 0
+    credit: float = 0.0    # earned by answers, spent by further dispatches
+    warm_at: int = 0       # cold until then
+    tokens: float = 0.0    # what may go to it while cold
+    seen: int = 0          # reqs that had been placed when the tokens were last counted
 
 
+@dataclass(slots=True, eq=False)
 class Sent:
     """One dispatch of a req."""
 
-    __slots__ = ("host", "at", "verdict")
-
-    def __init__(self, host: Host, at: int) -> None:
-        self.host, self.at, self.verdict = host, at, ""
+    host: Host
+    at: int
+    verdict: str = ""
 
 
+@dataclass(slots=True, eq=False)
 class Req:
-    __slots__ = ("id", "rule_set", "tenant", "key", "slot", "write", "born", "due", "sent", "out", "over",
-                 "missed", "streaming")
-
-    def __init__(self, id: int, rule_set: RuleSet, tenant: str, key: int | None, slot: int, write: bool,
-                 born: int, due: int) -> None:
-        self.id, self.rule_set, self.tenant, self.key, self.slot = id, rule_set, tenant, key, slot
-        self.write, self.born, self.due, self.out = write, born, due, 0
-        self.sent: list[Sent] = []
-        self.over = self.missed = self.streaming = False
+    id: int
+    rule_set: RuleSet
+    tenant: str
+    key: int | None
+    slot: int
+    write: bool
+    born: int
+    due: int               # when its client gives up
+    sent: list[Sent] = field(default_factory=list)
+    out: int = 0
+    over: bool = False     # it has its final answer
+    missed: bool = False   # a cache lacked the key, so it needs a fetch
+    streaming: bool = False
 
     def suspects(self) -> list[Sent]:
         """Dispatches that may have run or may yet run."""
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -11,9 +11,9 @@
 from binascii import crc_hqx
 from bisect import bisect_right
 from collections import deque
+from collections.abc import Iterable
 from itertools import accumulate
 from random import Random
-from typing import Iterable
 
 from orchidgap.chain import Agenda, Stage, link
 from orchidgap.ports import Port
@@ -22,7 +22,7 @@
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
-TICK = 500_000
+TICK, BREATHER = 500_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT, LEAST_LIMIT = 8.0, 2.0  # dispatches out at one host
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
@@ -57,9 +57,9 @@
 
     def press(self, pressed: bool, age: int) -> None:
         desk, self.pressed = self.desk, pressed
-        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms, for caches "
-                      f"{len(desk.placement.held)}, origin {len(desk.origin.writes)} + {len(desk.origin.held)} "
-                      f"at limit {desk.origin.slots():.0f}, shed {self.shed:.2f}")
+        held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
+        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms; caches, writes, "
+                      f"misses {held}, limit {desk.origin.slots():.0f}, shed {self.shed:.2f}")
 
     def tick(self) -> None:
         age = self.desk.oldest_wait()
@@ -80,9 +80,8 @@
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if not req.write and req.key is not None:
-            group = self.fetches.get(req.key)
-            if group is not None:
-                group.append(req)
+            if req.key in self.fetches:
+                self.fetches[req.key].append(req)
                 return self.desk.hold(req)
             if req.missed:
                 self.fetches[req.key] = [req]
@@ -112,16 +111,14 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.heft = 1.0  # of all ready caches
-        self.asked, self.drawn_at = 0, desk.now
+        self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
         if not self.ring:
             return self.desk.finish(req)
-        if not req.sent:
-            self.asked += 1
+        self.asked += 1
         host = self.choose(req)
         if host is not None:
             return self.next.take(req, host)
@@ -129,8 +126,7 @@
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
-        ring = self.ring
-        n = len(ring)
+        ring, n = self.ring, len(self.ring)
         i = bisect_right(self.cuts, req.slot)
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         for step in range(n // 2 + 1):
@@ -147,8 +143,7 @@
         return now >= host.warm_at or self.budget(host) >= 1.0
 
     def budget(self, host: Host) -> float:
-        """A cold host earns its part of this balancer's own reqs, cut to what it can do: all balancers' parts
-        together stay below its present capacity however traffic lies over them."""
+        """A cold host earns its share of the own reqs, cut to its warmth: all balancers' shares add up."""
         terms = self.desk.terms
         part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
         host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
@@ -176,14 +171,11 @@
                 right.size += host.size - host.size // 2
         if not ring:
             ring += ready
-            for i, host in enumerate(ready):
-                host.size = SPACE * (i + 1) // len(ready) - SPACE * i // len(ready)
+            self.resize([SPACE / len(ring) for _ in ring])
         for host in [host for host in ready if host not in ring]:
             i = sum(other.id < host.id for other in ring)
             sides = ring[max(i - 1, 0):i + 1]
-            giver = max(sides, key=lambda other: other.size)
-            if abs(sides[0].sends - sides[-1].sends) ** 2 > 9 * (sides[0].sends + sides[-1].sends):
-                giver = max(sides, key=lambda other: other.sends)  # busier beyond what chance explains
+            giver = max(sides, key=lambda other: other.sends)
             host.size = giver.size // 2
             giver.size -= host.size
             ring.insert(i, host)
@@ -193,11 +185,25 @@
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
 
+    def resize(self, sizes: list[float]) -> None:
+        """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
+        floor = SPACE / len(sizes) / 4 if sizes else 0.0
+        raised: set[int] = set()
+        while low := {i for i, size in enumerate(sizes) if size < floor and i not in raised}:
+            raised |= low
+            rest = sum(size for i, size in enumerate(sizes) if i not in raised)
+            scale = (SPACE - floor * len(raised)) / rest
+            sizes = [floor if i in raised else size * scale for i, size in enumerate(sizes)]
+        ends = [round(end * SPACE / sum(sizes)) for end in accumulate(sizes)]
+        for host, start, end in zip(self.ring, [0] + ends, ends):
+            host.size = end - start
+        self.cut()
+
     def tick(self) -> None:
         """Redraw all ranges by the document's formula, where enough has been counted."""
         ring, now = self.ring, self.desk.now
-        n = len(ring)
-        if not ring or now - self.drawn_at < REDRAW_GAP or sum(host.sends for host in ring) < REDRAW_SENDS * n:
+        n, sends = len(ring), sum(host.sends for host in ring)
+        if not ring or now - self.drawn_at < REDRAW_GAP or sends < REDRAW_SENDS * n:
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
@@ -206,30 +212,14 @@
                   for host in warm if not told or host.rate >= 0}
         mean = sum(counts.values()) / len(counts) if counts else 0.0
         loads = [counts.get(host, mean) for host in ring]
-        if total := sum(loads):
-            # half way only: a size that starts anew from the even share springs back, and the table swings
+        if total := sum(loads):  # half way only: sizes that start anew from the even share spring back
             drawn = [SPACE / n + SPACE * (1 / n - load / total) for load in loads]
-            for host, size in zip(ring, whole_sizes([(host.size + new) / 2 for host, new in zip(ring, drawn)])):
-                host.size = size
-            self.cut()
+            self.resize([(host.size + size) / 2 for host, size in zip(ring, drawn)])
         for host in ring:
             host.sends, host.counted = 0, now
         self.drawn_at = now
 
 
-def whole_sizes(sizes: list[float]) -> list[int]:
-    """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
-    floor = SPACE / len(sizes) / 4
-    raised: set[int] = set()
-    while low := {i for i, size in enumerate(sizes) if size < floor and i not in raised}:
-        raised |= low
-        rest = sum(size for i, size in enumerate(sizes) if i not in raised)
-        scale = (SPACE - floor * len(raised)) / rest
-        sizes = [floor if i in raised else size * scale for i, size in enumerate(sizes)]
-    ends = [round(end * SPACE / sum(sizes)) for end in accumulate(sizes)]
-    return [end - start for start, end in zip([0] + ends, ends)]
-
-
 class Origin(Stage):
     """Writes and misses go to the origin within a limit that follows how it answers; writes first."""
 
@@ -247,7 +237,7 @@
         last = min(req.due, req.born + req.rule_set.response_target)
         slots, lag = self.slots(), max((host.lag for host in self.hosts), default=0)
         if not slots or self.desk.now + lag * (1 + ahead / slots) > last:
-            return self.desk.finish(req)  # a quick deny, where waiting would end in one
+            return self.desk.finish(req)  # a quick deny where waiting would end in one
         held.append(req)
         self.desk.hold(req)
 
@@ -257,9 +247,9 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.pump()
-        if sent.verdict in FELL and sent.host.is_origin and not (req.over or req.out):
-            if self.desk.may_repeat(req, sent.host):
-                return self.take(req)
+        again = sent.verdict in FELL and sent.host.is_origin and not (req.over or req.out)
+        if again and self.desk.may_repeat(req, sent.host):
+            return self.take(req)
         self.prev.back(req, sent)
 
     def pump(self) -> None:
@@ -282,15 +272,11 @@
         req.sent.append(sent)
         req.out += 1
         host.out += 1
-        until = 0
         if not host.is_origin:
             host.sends += 1
             host.tokens -= 1.0
-            if desk.terms.may_duplicate:
-                desk.later(self.patience(host), self.late, (req, sent))
-            elif req.rule_set.replayable:
-                until = min(req.due, desk.now + 4 * self.patience(host))
-        desk.port.dispatch(req.id, host.id, until)
+            desk.later(self.patience(host), self.late, (req, sent))
+        desk.port.dispatch(req.id, host.id)
 
     def patience(self, host: Host) -> int:
         target = self.desk.target
@@ -319,27 +305,28 @@
                 self.desk.port.log(f"shun {host.id}: silent twice, {host.out} out, lag {host.lag // 1000} ms")
 
     def back(self, req: Req, sent: Sent) -> None:
-        host, now, verdict = sent.host, self.desk.now, sent.verdict
+        desk, host, now, verdict = self.desk, sent.host, self.desk.now, sent.verdict
         if verdict in ("done", "miss"):
             if host.strikes > 1:
-                self.desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
+                desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
             took = now - sent.at
             host.lag += (took - host.lag) // 8 if host.lag else took
             if verdict == "done" and not host.is_origin:
-                self.desk.pace += (took - self.desk.pace) // 16
-            if host.lag > self.desk.target * 2 // 5:
+                desk.pace += (took - desk.pace) // 16
+            if host.lag > desk.target * 2 // 5:
                 self.cut(host, 0.9)
             elif host.out >= host.limit // 2:
                 host.limit += 1.0 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
         elif verdict in FELL or verdict == "timeout":
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
-            if verdict == "full":
+            if verdict == "full" or host.is_origin:
                 host.heard, host.sends = now, host.sends + 1
-                host.shun_until = max(host.shun_until, now + 50_000)
+                host.shun_until = max(host.shun_until, now + BREATHER)
             elif verdict in ("unconnected", "reset"):
                 self.shun(host, 100_000)
+            desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
     def cut(self, host: Host, by: float) -> None:
@@ -402,8 +389,7 @@
         if scope == "failed":
             self.failures += 1
             return self.ask_soon(min(self.terms.ask_within // 4, 1_000_000 << min(self.failures, 3)))
-        if scope != "recalled":
-            self.failures = 0
+        self.failures = 0
         gone = set() if scope == "changes" else set(self.hosts)
         for id, state, since, zone, kind, cell, rating in entries:
             if state == "gone":
@@ -420,27 +406,28 @@
         ready = [host for _, host in sorted(self.hosts.items()) if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
-        self.placement.drain(self.placement.held)
-        self.origin.pump()
+        self.pump()
 
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
-        host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = host.warm_at = 0
+        host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
         host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
         host.counted, host.seen = self.now, self.placement.asked
-        if host.since and not host.is_origin:
-            host.warm_at = host.since + self.terms.warm_after
+        host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
     def tick(self, _: None) -> None:
         self.admission.tick()
         self.placement.tick()
-        self.placement.drain(self.placement.held)
-        self.origin.pump()
+        self.pump()
         if self.terms.probes_rate and self.placement.ring:  # one cache a tick, in turn
             self.probed = (self.probed + 1) % len(self.placement.ring)
             self.port.probe(self.placement.ring[self.probed].id)
         self.later(TICK, self.tick)
 
+    def pump(self, _: None = None) -> None:
+        self.placement.drain(self.placement.held)
+        self.origin.pump()
+
     def ask_soon(self, within: int) -> None:
         """Ask for the list at a random time: instances that start or fail together must not ask together."""
         if not self.asking:
@@ -452,7 +439,7 @@
         self.port.subscribe()
 
     def hold(self, req: Req) -> None:
-        """The req waits with nothing out, at most until its response target."""
+        """It waits with nothing out, at most until its response target."""
         last = min(req.born + req.rule_set.response_target, req.due - EARLY)
         self.later(max(0, last - self.now), self.give_up, req)
 
@@ -461,13 +448,9 @@
             self.finish(req)
 
     def oldest_wait(self) -> int:
-        oldest = self.now
-        for held in (self.placement.held, self.origin.writes, self.origin.held):
-            while held and held[0].over:
-                held.popleft()
-            if held:
-                oldest = min(oldest, held[0].born)
-        return self.now - oldest
+        queues = (self.placement.held, self.origin.writes, self.origin.held)
+        heads = [next((req.born for req in held if not req.over), self.now) for held in queues]
+        return self.now - min(heads)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -18,9 +18,6 @@
     uniqued: bool
     group: str  # who drops repeats: all, zone or cell
     repeat_window: int
-    value: float
-    late_value: float
-    streamed: bool
 
 
 class Tenant(NamedTuple):
@@ -72,11 +69,10 @@
             at = f"rule-sets.{i}."
             timeout = int(need(at + "client-timeout"))
             effect = need(at + "effect")
-            rule_sets[need(at + "name")] = RuleSet(
-                pairs[at + "name"], int(number(at + "response-target", timeout)), timeout,
-                effect == "retryable", effect == "dedup", pairs.get(at + "group", "cell"),
-                int(number(at + "repeat-window", 0)), number(at + "value", 1.0), number(at + "late-value", 0.0),
-                yes(at + "stream"))
+            name = need(at + "name")
+            rule_sets[name] = RuleSet(
+                name, int(number(at + "response-target", timeout)), timeout, effect == "retryable",
+                effect == "dedup", pairs.get(at + "group", "cell"), int(number(at + "repeat-window", 0)))
         tenants = {}
         for i in range(int(number("customers.count", 0))):
             name = need(f"customers.{i}.name")
@@ -89,6 +85,7 @@
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
             pairs.get("report.how") == "on_probe" and yes("ceilings.probing")
             and "tps" in pairs.get("report.fields", "").split(","),
-            int(number("ceilings.most-dispatches", 3)), yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
+            int(number("ceilings.most-dispatches", 3)),
+            yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
             number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -8,7 +8,8 @@
 from orchidgap.terms import MissingTerm, ServiceTerms
 
 VERDICTS = {
-    "Ok": "done", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout", "ConnectError": "unconnected",
+    "Ok": "done", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout",
+    "ConnectError": "unconnected",
     "ResetByPeer": "reset", "Canceled": "cancelled", "Ignored": "moot", "Miss": "miss"}
 STATES = {"Running": "up", "Stopping": "draining", "Deleted": "gone"}
 SCOPES = {"update": "changes", "replace": "whole", "restored": "recalled", "unavailable": "failed"}
@@ -27,8 +28,8 @@
         self.lines: list[str] = []
         self.say = self.lines.append
 
-    def dispatch(self, req: int, host: str, until: int) -> None:
-        self.say(f"ISSUE {req} {host} {until}")
+    def dispatch(self, req: int, host: str) -> None:
+        self.say(f"ISSUE {req} {host} 0")
 
     def deny(self, req: int, pause: int) -> None:
         self.say(f"PUSH_BACK {req} {pause}")
@@ -53,7 +54,7 @@
 
 
 class Instance:
-    __slots__ = ("port", "balancer")
+    __slots__ = ("balancer", "port")
 
     def __init__(self) -> None:
         self.port = WirePort()
@@ -173,7 +174,7 @@
                 fault = f"FOR {about}\nBAIL_OUT {name}: {type(trouble).__name__}: {trouble}"
             except MissingTerm as trouble:
                 fault = f"FOR {about}\nBAIL_OUT {trouble}"
-            except Exception as trouble:  # the day must stop with a text, not with a broken pipe
+            except Exception as trouble:  # noqa: BLE001 (the day must stop with a text)
                 fault = f"FOR {about}\nBAIL_OUT {name}: {type(trouble).__name__}: {trouble}"
         reply = []
         for about, instance in touched.items():
