--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -24,7 +24,7 @@
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
 TICK, BREATHER = 500_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
-FIRST_LIMIT, LEAST_LIMIT = 8.0, 2.0  # dispatches out at one host
+FIRST_LIMIT = 8.0  # dispatches out at one host
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
@@ -111,6 +111,7 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
+        self.fleet = Host("", False, limit=8 * FIRST_LIMIT)  # all caches together, for the limit on them
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -127,6 +128,8 @@
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
+        if self.fleet.out >= self.fleet.limit:
+            return None
         i = bisect_right(self.cuts, req.slot)
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         for step in range(n // 2 + 1):
@@ -273,6 +276,7 @@
         req.out += 1
         host.out += 1
         if not host.is_origin:
+            desk.placement.fleet.out += 1
             host.sends += 1
             host.tokens -= 1.0
             desk.later(self.patience(host), self.late, (req, sent))
@@ -280,7 +284,7 @@
 
     def patience(self, host: Host) -> int:
         target = self.desk.target
-        return min(max(3 * self.desk.pace, 3 * host.lag, target // 10), target * 3 // 5)
+        return min(3 * max(self.desk.placement.fleet.lag, host.lag, target // 30), target * 3 // 5)
 
     def late(self, pair: tuple[Req, Sent]) -> None:
         req, sent = pair
@@ -311,15 +315,11 @@
                 desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
-            took = now - sent.at
-            host.lag += (took - host.lag) // 8 if host.lag else took
-            if verdict == "done" and not host.is_origin:
-                desk.pace += (took - desk.pace) // 16
-            if host.lag > desk.target * 2 // 5:
-                self.cut(host, 0.9)
-            elif host.out >= host.limit // 2:
-                host.limit += 1.0 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
-        elif verdict in FELL or verdict == "timeout":
+        if verdict in ("done", "miss", "timeout"):
+            self.judge(host, now - sent.at)
+            if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
+                self.judge(desk.placement.fleet, now - sent.at)
+        elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
                 host.heard, host.sends = now, host.sends + 1
@@ -329,10 +329,19 @@
             desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
+    def judge(self, host: Host, took: int) -> None:
+        """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
+        host.lag += (took - host.lag) // 8 if host.lag else took
+        slow = host.lag / (self.desk.target * 0.4)
+        if slow > 1.0:
+            self.cut(host, max(0.5, min(0.9, 1 / slow)))
+        elif host.out >= host.limit // 2:
+            host.limit += 1.0 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
+
     def cut(self, host: Host, by: float) -> None:
         """Lower the limit, at most once in the time that an answer takes."""
         if self.desk.now - host.cut_at > host.lag:
-            host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * by), self.desk.now
+            host.limit, host.cut_at = max(1.0, min(host.limit, host.out + 1) * by), self.desk.now
 
 
 class Balancer(Agenda):
@@ -342,7 +351,6 @@
         super().__init__(port, now)
         self.terms, self.rng = terms, Random(seed)
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
-        self.pace = self.target // 8  # how long caches take to answer
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
         self.failures, self.probed, self.asking = 0, 0, False
@@ -367,6 +375,7 @@
         sent.verdict = verdict
         req.out -= 1
         sent.host.out -= 1
+        self.placement.fleet.out -= not sent.host.is_origin
         if over:
             self.end(req)
         self.sender.back(req, sent)
