--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -318,7 +318,7 @@
         if verdict in ("done", "miss", "timeout"):
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                self.judge(desk.placement.fleet, now - sent.at, 4)
+                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 4)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
@@ -331,7 +331,7 @@
 
     def judge(self, host: Host, took: int, gain: int) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        host.lag += (took - host.lag) // (8 * gain) if host.lag else took
+        host.lag += (took - host.lag) // 8 if host.lag else took
         slow = host.lag / (self.desk.target * 0.4)
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
