--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -341,7 +341,8 @@
     def cut(self, host: Host, by: float) -> None:
         """Lower the limit, at most once in the time that an answer takes."""
         if self.desk.now - host.cut_at > host.lag:
-            host.limit, host.cut_at = max(2.0, min(host.limit, 2 * host.out + 2) * by), self.desk.now
+            floor = 2.0 if host.is_origin else 1.0
+            host.limit, host.cut_at = max(floor, min(host.limit, floor * host.out + floor) * by), self.desk.now
 
 
 class Balancer(Agenda):
