--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -315,7 +315,7 @@
                 desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
-        if verdict in ("done", "miss", "timeout"):
+        if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
                 self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 4)
