--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -34,11 +34,10 @@
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
-        self.total, self.pressed, self.shed = 0.0, False, 0.0
+        self.total, self.worst, self.pressed, self.shed = 0.0, 0, False, 0.0
 
     def take(self, req: Req, host: Host | None = None) -> None:
-        desk = self.desk
-        self.total += 1.0
+        desk, self.total = self.desk, self.total + 1.0
         if req.tenant in self.asked:
             self.asked[req.tenant] += 1.0
             part = self.asked[req.tenant] / self.total / desk.terms.tenants[req.tenant].share
@@ -46,8 +45,7 @@
             if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
                 return desk.finish(req)
         age = desk.oldest_wait()
-        if age > desk.target // 4 and not self.pressed:
-            self.press(True, age)
+        self.worst = max(self.worst, age)
         if age > desk.target // 2:
             return desk.finish(req)
         self.next.take(req)
@@ -55,16 +53,14 @@
     def back(self, req: Req, sent: Sent) -> None:
         self.desk.give_up(req)
 
-    def press(self, pressed: bool, age: int) -> None:
-        desk, self.pressed = self.desk, pressed
-        held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
-        desk.port.log(f"overload {'on' if pressed else 'off'}: oldest held {age // 1000} ms; caches, writes, "
-                      f"misses {held}, limit {desk.origin.slots():.0f}, shed {self.shed:.2f}")
-
     def tick(self) -> None:
-        age = self.desk.oldest_wait()
-        if self.pressed and age < self.desk.target // 8:
-            self.press(False, age)
+        desk, worst, self.worst = self.desk, self.worst, 0
+        if (worst > desk.target // 4) != self.pressed:
+            self.pressed = not self.pressed
+            held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, "
+                          f"writes, misses {held}, limits {desk.placement.fleet.limit:.0f}, "
+                          f"{desk.origin.slots():.0f}, shed {self.shed:.2f}")
         self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
         self.total *= 0.8
         for name in self.asked:
@@ -341,8 +337,8 @@
     def cut(self, host: Host, by: float) -> None:
         """Lower the limit, at most once in the time that an answer takes."""
         if self.desk.now - host.cut_at > host.lag:
-            floor = 2.0 if host.is_origin else 1.0
-            host.limit, host.cut_at = max(floor, min(host.limit, floor * host.out + floor) * by), self.desk.now
+            floor = 1.0 + host.is_origin
+            host.limit, host.cut_at = max(floor, min(host.limit, floor * (host.out + 1)) * by), self.desk.now
 
 
 class Balancer(Agenda):
@@ -354,7 +350,7 @@
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
-        self.failures, self.probed, self.asking = 0, 0, False
+        self.failures, self.asking = 0, False
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
         link(self.admission, self.merging, self.placement, self.origin, self.sender)
@@ -429,9 +425,8 @@
         self.admission.tick()
         self.placement.tick()
         self.pump()
-        if self.terms.probes_rate and self.placement.ring:  # one cache a tick, in turn
-            self.probed = (self.probed + 1) % len(self.placement.ring)
-            self.port.probe(self.placement.ring[self.probed].id)
+        if self.terms.probes_rate and self.placement.ring:  # one cache a tick
+            self.port.probe(self.rng.choice(self.placement.ring).id)
         self.later(TICK, self.tick)
 
     def pump(self, _: None = None) -> None:
