--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -311,10 +311,12 @@
                 desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
-        if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
-            self.judge(host, now - sent.at, 1)
+        if verdict in ("done", "miss", "timeout"):
+            took, fleet = now - sent.at, desk.placement.fleet
+            # a miss is told at once, however crowded the host; without it a cold fleet would never open
+            self.judge(host, took if verdict != "miss" else host.lag, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 4)
+                self.judge(fleet, min(took, desk.target * 3 // 4) if verdict != "miss" else fleet.lag * 31 // 32, 4)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
