--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -58,9 +58,9 @@
         if (worst > desk.target // 4) != self.pressed:
             self.pressed = not self.pressed
             held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, "
-                          f"writes, misses {held}, limits {desk.placement.fleet.limit:.0f}, "
-                          f"{desk.origin.slots():.0f}, shed {self.shed:.2f}")
+            limits = f"{desk.placement.fleet.limit:.0f}, {desk.origin.slots():.0f}, shed {self.shed:.2f}"
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for "
+                          f"caches, as writes, as misses {held}, limits on caches, origin {limits}")
         self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
         self.total *= 0.8
         for name in self.asked:
@@ -91,10 +91,8 @@
 
     def release(self, req: Req, filled: bool) -> None:
         """The leader is over: its followers ask the cache, or one of them fetches in its place."""
-        group = self.fetches.get(req.key)
-        if group and group[0] is req:
-            del self.fetches[req.key]
-            for follower in group[1:]:
+        if self.fetches.get(req.key, [None])[0] is req:
+            for follower in self.fetches.pop(req.key)[1:]:
                 if not follower.over:
                     follower.missed = follower.missed and not filled
                     self.take(follower)
@@ -107,24 +105,22 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.fleet = Host("", False, limit=8 * FIRST_LIMIT)  # all caches together, for the limit on them
+        self.fleet = Host("", False, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
-        if not self.ring:
-            return self.desk.finish(req)
         self.asked += 1
         host = self.choose(req)
-        if host is not None:
-            return self.next.take(req, host)
+        if host is not None or not self.ring:
+            return self.next.take(req, host) if host else self.desk.finish(req)
         self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
-        if self.fleet.out >= self.fleet.limit:
+        if not ring or self.fleet.out >= self.fleet.limit:
             return None
         i = bisect_right(self.cuts, req.slot)
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
@@ -152,7 +148,7 @@
     def back(self, req: Req, sent: Sent) -> None:
         self.drain(self.held)
         if sent.verdict in FELL and not (req.over or req.out or req.missed or sent.host.is_origin):
-            host = self.choose(req) if self.ring else None
+            host = self.choose(req)
             if host is not None and host.credit >= 1.0 and self.desk.may_repeat(req, host):
                 host.credit -= 1.0
                 return self.next.take(req, host)
@@ -311,12 +307,10 @@
                 desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
-        if verdict in ("done", "miss", "timeout"):
-            took, fleet = now - sent.at, desk.placement.fleet
-            # a miss is told at once, however crowded the host; without it a cold fleet would never open
-            self.judge(host, took if verdict != "miss" else host.lag, 1)
+        if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
+            self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                self.judge(fleet, min(took, desk.target * 3 // 4) if verdict != "miss" else fleet.lag * 31 // 32, 4)
+                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 4)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
@@ -394,10 +388,9 @@
             self.hosts[id].rate = load.get("tps", self.hosts[id].rate)
 
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
+        self.failures = self.failures + 1 if scope == "failed" else 0
         if scope == "failed":
-            self.failures += 1
             return self.ask_soon(min(self.terms.ask_within // 4, 1_000_000 << min(self.failures, 3)))
-        self.failures = 0
         gone = set() if scope == "changes" else set(self.hosts)
         for id, state, since, zone, kind, cell, rating in entries:
             if state == "gone":
@@ -409,9 +402,8 @@
                 host.since = since
                 self.restart(host)
             host.state, host.zone, host.cell, host.rating = state, zone, cell, rating
-        for id in gone & self.hosts.keys():
-            del self.hosts[id]
-        ready = [host for _, host in sorted(self.hosts.items()) if host.state == "up"]
+        self.hosts = {id: host for id, host in sorted(self.hosts.items()) if id not in gone}
+        ready = [host for host in self.hosts.values() if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
         self.pump()
@@ -456,8 +448,7 @@
 
     def oldest_wait(self) -> int:
         queues = (self.placement.held, self.origin.writes, self.origin.held)
-        heads = [next((req.born for req in held if not req.over), self.now) for held in queues]
-        return self.now - min(heads)
+        return self.now - min(next((req.born for req in held if not req.over), self.now) for held in queues)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
