--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -44,9 +44,9 @@
             # a tenant over its share goes first, else its excess takes from those within theirs
             if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
                 return desk.finish(req)
-        age = desk.oldest_wait()
+        age = desk.oldest_wait(desk.placement.held, desk.origin.writes, desk.origin.held)
         self.worst = max(self.worst, age)
-        if age > desk.target // 2:
+        if age > desk.target // 2 and desk.oldest_wait(desk.placement.held, desk.origin.writes) > desk.target // 2:
             return desk.finish(req)
         self.next.take(req)
 
@@ -446,8 +446,7 @@
         if not req.over and not req.out:
             self.finish(req)
 
-    def oldest_wait(self) -> int:
-        queues = (self.placement.held, self.origin.writes, self.origin.held)
+    def oldest_wait(self, *queues: deque[Req]) -> int:
         return self.now - min(next((req.born for req in held if not req.over), self.now) for held in queues)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
