--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -324,7 +324,7 @@
     def judge(self, host: Host, took: int, gain: int) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         host.lag += (took - host.lag) // 8 if host.lag else took
-        slow = host.lag / (self.desk.target * 0.4)
+        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.4))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.out >= host.limit // 2:
