--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -310,7 +310,7 @@
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 4)
+                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 16 / desk.terms.instances)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
@@ -321,7 +321,7 @@
             desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
-    def judge(self, host: Host, took: int, gain: int) -> None:
+    def judge(self, host: Host, took: int, gain: float) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         host.lag += (took - host.lag) // 8 if host.lag else took
         slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.4))
