--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -23,6 +23,7 @@
     size: int = 0          # of its range, in slots
     out: int = 0           # dispatches out
     limit: float = 0.0     # how many may be out
+    floor: float = 1.0     # below which the limit does not fall
     cut_at: int = 0        # when the limit was last lowered
     sends: int = 0         # since the last redraw, a refusal for being full counted twice
     counted: int = 0       # since when they are counted
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -46,8 +46,9 @@
                 return desk.finish(req)
         age = desk.oldest_wait(desk.placement.held, desk.origin.writes, desk.origin.held)
         self.worst = max(self.worst, age)
-        if age > desk.target // 2 and desk.oldest_wait(desk.placement.held, desk.origin.writes) > desk.target // 2:
-            return desk.finish(req)
+        if age > desk.target // 2:  # misses that wait say nothing of the caches, which still have most keys
+            if desk.oldest_wait(desk.placement.held, desk.origin.writes) > desk.target // 2:
+                return desk.finish(req)
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
@@ -179,6 +180,7 @@
     def cut(self) -> None:
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
+        self.fleet.floor = max(2.0, 2 * len(self.ring) / self.desk.terms.instances)
 
     def resize(self, sizes: list[float]) -> None:
         """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
@@ -310,7 +312,8 @@
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                self.judge(desk.placement.fleet, min(now - sent.at, desk.target * 3 // 4), 16 / desk.terms.instances)
+                took = min(now - sent.at, desk.target * 3 // 4)  # one hot cache must not weigh like a crowd
+                self.judge(desk.placement.fleet, took, 16 / desk.terms.instances)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
@@ -331,10 +334,10 @@
             host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
 
     def cut(self, host: Host, by: float) -> None:
-        """Lower the limit, at most once in the time that an answer takes."""
+        """At most once in the time that an answer takes."""
         if self.desk.now - host.cut_at > host.lag:
-            floor = 1.0 + host.is_origin
-            host.limit, host.cut_at = max(floor, min(host.limit, floor * (host.out + 1)) * by), self.desk.now
+            host.limit = max(host.floor, min(host.limit, (1 + host.is_origin) * (host.out + 1)) * by)
+            host.cut_at = self.desk.now
 
 
 class Balancer(Agenda):
@@ -412,6 +415,7 @@
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
         host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
+        host.floor = 1.0 + host.is_origin  # at 1 a balancer with few fetches could not open again
         host.counted, host.seen = self.now, self.placement.asked
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
@@ -439,8 +443,7 @@
 
     def hold(self, req: Req) -> None:
         """It waits with nothing out, at most until its response target."""
-        last = min(req.born + req.rule_set.response_target, req.due - EARLY)
-        self.later(max(0, last - self.now), self.give_up, req)
+        self.later(min(req.born + req.rule_set.response_target, req.due - EARLY) - self.now, self.give_up, req)
 
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
