--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -334,8 +334,7 @@
             host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
 
     def cut(self, host: Host, by: float) -> None:
-        """At most once in the time that an answer takes."""
-        if self.desk.now - host.cut_at > host.lag:
+        if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
             host.limit = max(host.floor, min(host.limit, (1 + host.is_origin) * (host.out + 1)) * by)
             host.cut_at = self.desk.now
 
@@ -392,7 +391,7 @@
 
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
-        if scope == "failed":
+        if self.failures:
             return self.ask_soon(min(self.terms.ask_within // 4, 1_000_000 << min(self.failures, 3)))
         gone = set() if scope == "changes" else set(self.hosts)
         for id, state, since, zone, kind, cell, rating in entries:
@@ -443,7 +442,8 @@
 
     def hold(self, req: Req) -> None:
         """It waits with nothing out, at most until its response target."""
-        self.later(min(req.born + req.rule_set.response_target, req.due - EARLY) - self.now, self.give_up, req)
+        last = min(req.born + req.rule_set.response_target, req.due - EARLY)
+        self.later(last - self.now, self.give_up, req)
 
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -202,7 +202,7 @@
 
 
 def test_a_crowd_shows_in_the_sum_of_all_caches():
-    desk = Desk(8)
+    desk = Desk(8, instances="8")
     desk.placement.fleet.limit = 12.0
     for _ in range(3):  # one late answer from each cache: no single host has enough of them to tell
         reqs = [desk.put(key) for key in range(8)]
