--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -313,7 +313,7 @@
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
                 took = min(now - sent.at, desk.target * 3 // 4)  # one hot cache must not weigh like a crowd
-                self.judge(desk.placement.fleet, took, 16 / desk.terms.instances)
+                self.judge(desk.placement.fleet, took, 4)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             if verdict == "full" or host.is_origin:
@@ -327,7 +327,7 @@
     def judge(self, host: Host, took: int, gain: float) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         host.lag += (took - host.lag) // 8 if host.lag else took
-        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.4))
+        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.3))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.out >= host.limit // 2:
