--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -85,8 +85,8 @@
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
-        if sent.verdict == "miss" and not (req.over or req.write or req.missed):
-            req.missed = True  # once only: the miss of a copy must not make the leader its own follower
+        if sent.verdict == "miss" and not (req.over or req.write):
+            req.missed = True
             return self.take(req)
         self.prev.back(req, sent)
 
@@ -259,7 +259,7 @@
 
 
 class Dispatch(Stage):
-    """Sends, keeps each host's record, and sends a further copy where a host has gone silent."""
+    """Sends, and keeps each host's record by what comes back."""
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
@@ -273,26 +273,19 @@
             desk.placement.fleet.out += 1
             host.sends += 1
             host.tokens -= 1.0
-            desk.later(self.patience(host), self.late, (req, sent))
+            desk.later(self.patience(host), self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
     def patience(self, host: Host) -> int:
         target = self.desk.target
         return min(3 * max(self.desk.placement.fleet.lag, host.lag, target // 30), target * 3 // 5)
 
-    def late(self, pair: tuple[Req, Sent]) -> None:
-        req, sent = pair
-        if sent.verdict or req.over or req.streaming:
-            return
-        host, desk = sent.host, self.desk
-        if host.heard >= sent.at:  # it answers others: slow work is no reason for a copy that will miss
-            return desk.later(self.patience(host), self.late, pair)
-        if host.out > 1:  # nothing heard of several: it stalls or died before the list says so
+    def late(self, sent: Sent) -> None:
+        host = sent.host
+        if not sent.verdict and host.heard >= sent.at:  # it answers others: slow work is no reason to leave it
+            self.desk.later(self.patience(host), self.late, sent)
+        elif not sent.verdict and host.out > 1:  # nothing heard of several: it died before the list says so
             self.shun(host, self.patience(host))
-        other = desk.placement.choose(req) if req.out == 1 and not desk.admission.pressed else None
-        if other is not None and other.credit >= 1.0 and desk.may_repeat(req, other):
-            other.credit -= 1.0
-            self.take(req, other)
 
     def shun(self, host: Host, base: int) -> None:
         """No new work for a while, longer each time it is silent again."""
@@ -455,7 +448,7 @@
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
         rule_set = req.rule_set
-        if len(req.sent) >= self.terms.max_dispatches or (req.out and not self.terms.may_duplicate):
+        if len(req.sent) >= self.terms.max_dispatches:
             return False
         doubtful = [] if rule_set.replayable else req.suspects()
         if not doubtful:
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -47,7 +47,6 @@
     probes_rate: bool  # a probe tells a cache's reqs a second, and nothing else does
     max_dispatches: int
     may_cancel: bool
-    may_duplicate: bool
     max_pause: int  # 0 where clients are told no comeback time
     cold_from: float
     warm_after: int
@@ -87,6 +86,6 @@
             pairs.get("report.how") == "on_probe" and yes("ceilings.probing")
             and "tps" in pairs.get("report.fields", "").split(","),
             int(number("ceilings.most-dispatches", 3)),
-            yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
+            yes("ceilings.may-cancel"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
             number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
