--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,4 +1,6 @@
 import io
+import subprocess
+import sys
 
 import pytest
 from desk import PAIRS
@@ -38,3 +40,10 @@
     assert "BAIL_OUT setting rule-sets.count is missing\nYIELD 1" in answer(
         "BATCH 1 1\nABOUT 3\nPROVISION 5 az=a\nYOUR_TURN\n")
     assert "BAIL_OUT QUERY" in answer(START + "QUERY 77 900000 0 nosuch 5 0 - - -\nYOUR_TURN\n")
+
+
+@pytest.mark.parametrize(("raw", "names"), [(b"HELLO\n", "batch"), (b"BATCH 1 1\n\xff\xfe\n", "UTF-8")])
+def test_the_command_ends_with_one_plain_line(raw, names):
+    done = subprocess.run([sys.executable, "-m", "orchidgap.wirehost"], input=raw, capture_output=True, check=False)
+    assert done.returncode == 1 and not done.stdout
+    assert names in done.stderr.decode() and done.stderr.count(b"\n") == 1
