Take out what the dropped copies left behind; clearer text, same decisions

Gone: the streaming mark and its call (nothing read it), checks for a second dispatch out, settings nobody read (a rule set's name and client timeout, a tenant's name), a line in a test without effect. The wire's word for reqs a second stays in the codec now, the codec's two fault branches are one, and Placement.take and Dispatch.late return early.

--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -61,7 +61,6 @@
     out: int = 0
     over: bool = False     # it has its final answer
     missed: bool = False   # a cache lacked the key, so it needs a fetch
-    streaming: bool = False
 
     def suspects(self) -> list[Sent]:
         """Dispatches that may have run or may yet run."""
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -1,7 +1,7 @@
 """All decisions of the balancer.
 
 A host program makes one `Balancer` an instance, sets `now` (whole microseconds) before each call, and calls
-`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_stream`, `on_wake` and `on_report` as things happen.
+`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_wake` and `on_report` as things happen.
 The balancer acts through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
 A req runs down the chain Admission, Merging, Placement, Origin, Dispatch; what comes back runs up it.
 """
@@ -113,9 +113,11 @@
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
         self.asked += 1
+        if not self.ring:
+            return self.desk.finish(req)
         host = self.choose(req)
-        if host is not None or not self.ring:
-            return self.next.take(req, host) if host else self.desk.finish(req)
+        if host is not None:
+            return self.next.take(req, host)
         self.held.append(req)
         self.desk.hold(req)
 
@@ -148,7 +150,7 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.drain(self.held)
-        if sent.verdict in FELL and not (req.over or req.out or req.missed or sent.host.is_origin):
+        if sent.verdict in FELL and not (req.over or req.missed or sent.host.is_origin):
             host = self.choose(req)
             if host is not None and host.credit >= 1.0 and self.desk.may_repeat(req, host):
                 host.credit -= 1.0
@@ -244,7 +246,7 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.pump()
-        again = sent.verdict in FELL and sent.host.is_origin and not (req.over or req.out)
+        again = sent.verdict in FELL and sent.host.is_origin and not req.over
         if again and self.desk.may_repeat(req, sent.host):
             return self.take(req)
         self.prev.back(req, sent)
@@ -282,9 +284,11 @@
 
     def late(self, sent: Sent) -> None:
         host = sent.host
-        if not sent.verdict and host.heard >= sent.at:  # it answers others: slow work is no reason to leave it
+        if sent.verdict:
+            return
+        if host.heard >= sent.at:  # it answers others: slow work is no reason to leave it
             self.desk.later(self.patience(host), self.late, sent)
-        elif not sent.verdict and host.out > 1:  # nothing heard of several: it died before the list says so
+        elif host.out > 1:  # nothing heard of several: it died before the list says so
             self.shun(host, self.patience(host))
 
     def shun(self, host: Host, base: int) -> None:
@@ -374,13 +378,9 @@
         if id in self.reqs:
             self.end(self.reqs[id])
 
-    def on_stream(self, id: int) -> None:
-        if id in self.reqs:
-            self.reqs[id].streaming = True
-
-    def on_report(self, id: str, load: dict[str, float]) -> None:
+    def on_report(self, id: str, rate: float) -> None:
         if id in self.hosts:
-            self.hosts[id].rate = load.get("tps", self.hosts[id].rate)
+            self.hosts[id].rate = rate
 
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -11,9 +11,7 @@
 
 
 class RuleSet(NamedTuple):
-    name: str
     response_target: int
-    client_timeout: int
     replayable: bool
     uniqued: bool
     group: str  # who drops repeats: all, zone or cell
@@ -21,7 +19,6 @@
 
 
 class Tenant(NamedTuple):
-    name: str
     share: float
 
 
@@ -71,12 +68,12 @@
             effect = need(at + "effect")
             name = need(at + "name")
             rule_sets[name] = RuleSet(
-                name, int(number(at + "response-target", timeout)), timeout, effect == "retryable",
-                effect == "dedup", pairs.get(at + "group", "cell"), int(number(at + "repeat-window", 0)))
+                int(number(at + "response-target", timeout)), effect == "retryable", effect == "dedup",
+                pairs.get(at + "group", "cell"), int(number(at + "repeat-window", 0)))
         tenants = {}
         for i in range(int(number("customers.count", 0))):
             name = need(f"customers.{i}.name")
-            tenants[name] = Tenant(name, number(f"customers.{i}.share", 1.0))
+            tenants[name] = Tenant(number(f"customers.{i}.share", 1.0))
         kind = int(number("family-info.origin-kind", -1))
         kinds = pairs.get("kinds", "").split(",")
         aside = pairs.get("family-info.mode") == "aside" and 0 <= kind < len(kinds)
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -83,6 +83,12 @@
     return {name: float(value) for name, _, value in (pair.partition(":") for pair in text.split(","))}
 
 
+def told(balancer: Balancer, host: str, report: str) -> None:
+    rate = load(report).get("tps")
+    if rate is not None:
+        balancer.on_report(host, rate)
+
+
 def event(instance: Instance, parts: list[str], more: list[list[str]], now: int) -> None:
     """One event into one call."""
     name = parts[0]
@@ -103,16 +109,13 @@
     elif name == "ENDED":
         _, req, number, host, verdict, _, over, _, report = parts
         balancer.on_outcome(int(req), int(number), VERDICTS[verdict], over == "1")
-        if report != "-":
-            balancer.on_report(host, load(report))
+        told(balancer, host, report)
     elif name == "FIRED":
         balancer.on_wake(int(parts[1]))
-    elif name == "OPENED":
-        balancer.on_stream(int(parts[1]))
     elif name == "HANGUP":
         balancer.on_hangup(int(parts[1]))
     elif name == "STATUS_BACK":
-        balancer.on_report(parts[1], load(parts[4]))
+        told(balancer, parts[1], parts[4])
     elif name == "BACKENDS_CHANGED":
         balancer.on_hosts(SCOPES[parts[1]], entries(more))
 
@@ -168,14 +171,12 @@
                 event(instance, parts, more, now)
             except Malformed:
                 raise
-            except (ValueError, KeyError) as trouble:
-                if decoding(trouble):
-                    raise Malformed(f"bad value in {name}: {line[:80]!r}") from None
-                fault = f"FOR {about}\nBAIL_OUT {name}: {type(trouble).__name__}: {trouble}"
-            except MissingTerm as trouble:
-                fault = f"FOR {about}\nBAIL_OUT {trouble}"
             except Exception as trouble:  # noqa: BLE001 (the day must stop with a text)
-                fault = f"FOR {about}\nBAIL_OUT {name}: {type(trouble).__name__}: {trouble}"
+                if isinstance(trouble, (ValueError, KeyError)) and decoding(trouble):
+                    raise Malformed(f"bad value in {name}: {line[:80]!r}") from None
+                known = isinstance(trouble, MissingTerm)
+                what = str(trouble) if known else f"{name}: {type(trouble).__name__}: {trouble}"
+                fault = f"FOR {about}\nBAIL_OUT {what}"
         reply = []
         for about, instance in touched.items():
             if instance.port.lines:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -61,8 +61,8 @@
     for host in desk.placement.ring:
         host.sends = 100
     for id, rate in (("c0", 30.0), ("c1", 10.0), ("c2", 20.0)):
-        desk.on_report(id, {"tps": rate, "depth": 1.0})
-    desk.on_report("nobody", {"tps": 1.0})
+        desk.on_report(id, rate)
+    desk.on_report("nobody", 1.0)
     desk.wait(6_000_000)
     assert list(sizes(desk).values()) == pytest.approx([3072, 5120, 4096, 4096], abs=4)
 
@@ -185,7 +185,6 @@
     desk.admission.shed = 0.5
     big = [desk.put(key, "mark", tenant="big") for key in range(400)]
     small = [desk.put(key, "mark", tenant="small") for key in range(20)]
-    desk.admission.pressed = True
     denied = {req for req, _ in desk.did("deny")}
     assert len(denied & set(big)) > 100 and not denied & set(small)
 
@@ -276,7 +275,6 @@
     desk.list([], "whole")
     assert desk.did("deny", desk.put(None)) and desk.did("deny", desk.put(4, "mark"))
     desk.on_hangup(99)
-    desk.on_stream(99)
     desk.outcome(99, "done")
     desk.on_wake(12345)
     desk.list(["c0"], state="gone")
