--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -118,12 +118,14 @@
         host = self.choose(req)
         if host is not None:
             return self.next.take(req, host)
+        if self.fleet.limit < 1.0:
+            return self.desk.finish(req)
         self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
-        if not ring or self.fleet.out >= self.fleet.limit:
+        if not ring or not self.desk.fits(self.fleet):
             return None
         i = bisect_right(self.cuts, req.slot)
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
@@ -136,7 +138,7 @@
     def room(self, host: Host) -> bool:
         """A host that was shunned gets a single req first, which tells whether it is back."""
         now = self.desk.now
-        if now < host.shun_until or host.out >= host.limit or (host.strikes and host.out):
+        if now < host.shun_until or (host.strikes and host.out) or not self.desk.fits(host):
             return False
         return now >= host.warm_at or self.budget(host) >= 1.0
 
@@ -180,7 +182,7 @@
     def cut(self) -> None:
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
-        self.fleet.floor = max(2.0, 2 * len(self.ring) / self.desk.terms.instances)
+        self.fleet.floor = 0.1
 
     def resize(self, sizes: list[float]) -> None:
         """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
@@ -233,13 +235,13 @@
         ahead = len(self.writes) + (0 if req.write else len(self.held))
         last = min(req.due, req.born + req.rule_set.response_target)
         slots, lag = self.slots(), max((host.lag for host in self.hosts), default=0)
-        if not slots or self.desk.now + lag * (1 + ahead / slots) > last:
+        if slots < 1 or self.desk.now + lag * (1 + ahead / slots) > last:
             return self.desk.finish(req)  # a quick deny where waiting would end in one
         held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
-        ready = [host for host in self.hosts if host.out < host.limit and self.desk.now >= host.shun_until]
+        ready = [host for host in self.hosts if self.desk.now >= host.shun_until and self.desk.fits(host)]
         return min(ready, key=lambda host: host.out) if ready else None
 
     def back(self, req: Req, sent: Sent) -> None:
@@ -327,7 +329,8 @@
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.out >= host.limit // 2:
-            host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
+            # a start from 8 is lost without haste; below one, a step is a tenth
+            host.limit += gain / max(host.limit, 10 * gain * (host.limit < 1)) if host.cut_at else 1.0
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
@@ -406,7 +409,7 @@
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
         host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
-        host.floor = 1.0 + host.is_origin  # at 1 a balancer with few fetches could not open again
+        host.floor = 0.1
         host.counted, host.seen = self.now, self.placement.asked
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
@@ -437,6 +440,10 @@
         last = min(req.born + req.rule_set.response_target, req.due - EARLY)
         self.later(last - self.now, self.give_up, req)
 
+    def fits(self, host: Host) -> bool:
+        """Limits of hundreds of balancers add up: below one, a limit is the chance that a lone req goes."""
+        return host.out < host.limit if host.limit >= 1 else not host.out and self.rng.random() < host.limit
+
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
             self.finish(req)
