Balancers that may talk pool sends, lags and tenants through one in turn

Cause: a balancer with two reqs a second sees a handful of answers, too few to follow any host. Each second the balancers tell one of them, in turn, which tells the sums to all.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from itertools import accumulate
 from random import Random
+from struct import Struct
 
 from orchidgap.chain import Agenda, Stage, link
 from orchidgap.ports import Port
@@ -22,9 +23,10 @@
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
-TICK, BREATHER = 500_000, 50_000
+TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 8.0  # dispatches out at one host
+POOLED = Struct("<HHB")  # what is told of a host or tenant: its code, how often asked, how slow in 1/64 targets
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
@@ -40,6 +42,7 @@
         desk, self.total = self.desk, self.total + 1.0
         if req.tenant in self.asked:
             self.asked[req.tenant] += 1.0
+            desk.pool.note(desk.pool.codes[req.tenant], 1)
             part = self.asked[req.tenant] / self.total / desk.terms.tenants[req.tenant].share
             # a tenant over its share goes first, else its excess takes from those within theirs
             if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
@@ -106,7 +109,7 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.fleet = Host("", False, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
+        self.fleet = Host("", False, 0, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
         self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -271,10 +274,12 @@
         req.sent.append(sent)
         req.out += 1
         host.out += 1
+        desk.pool.note(host.code, 1)
         if not host.is_origin:
             desk.placement.fleet.out += 1
             desk.placement.fleet.sends += 1
             host.sends += 1
+            desk.pool.note(0, 1)
             host.tokens -= 1.0
             desk.later(self.patience(host), self.late, sent)
         desk.port.dispatch(req.id, host.id)
@@ -308,9 +313,11 @@
             host.heard, host.shun_until, host.strikes = now, 0, 0
             host.credit = min(10.0, host.credit + 0.2)
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
+            desk.pool.note(host.code, 0, now - sent.at)
             self.judge(host, now - sent.at, 1)
             if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
                 took = min(now - sent.at, desk.target * 3 // 4)  # one hot cache must not weigh like a crowd
+                desk.pool.note(0, 0, took)
                 self.judge(desk.placement.fleet, took, 4)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
@@ -322,13 +329,13 @@
             desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
-    def judge(self, host: Host, took: int, gain: float) -> None:
+    def judge(self, host: Host, took: int, gain: float, weight: int = 1) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        host.lag += (took - host.lag) // 8 if host.lag else took
+        host.lag += (took - host.lag) * weight // 8 if host.lag else took
         slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.3))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
-        elif host.out >= host.limit // 2:
+        elif host.out >= host.limit // 2 or weight > 1:
             # a start from 8 is lost without haste; below one, a step is a tenth
             host.limit += gain / max(host.limit, 10 * gain * (host.limit < 1)) if host.cut_at else 1.0
 
@@ -338,6 +345,68 @@
             host.cut_at = self.desk.now
 
 
+class Pool:
+    """What all balancers see, where they may talk: each tells one of them, in turn, which tells the sums to all."""
+
+    def __init__(self, desk: Balancer) -> None:
+        self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
+        self.codes = {name: crc_hqx(name.encode(), 1) for name in desk.terms.tenants}
+        self.names = {code: name for name, code in self.codes.items()}
+        self.hosts: dict[int, Host] = {}
+        self.seen: dict[int, list[int]] = {}  # by code: times asked, answers, their sum of times
+        self.sums: dict[int, list[int]] = {}  # the same of all balancers, while it is this one's turn
+
+    def note(self, code: int, asked: int, took: int = 0) -> None:
+        if self.on:
+            row = self.seen.setdefault(code, [0, 0, 0])
+            row[0] += asked
+            row[1] += took > 0
+            row[2] += took
+
+    def tick(self) -> None:
+        if not self.on:
+            return
+        desk, turn = self.desk, self.desk.now // POOL_GAP % self.desk.terms.instances
+        if self.sums and turn != desk.terms.slot_no:
+            # the price of what is told stays tied to the traffic: half a message a req, the busiest first
+            rows = sorted(self.sums.items(), key=lambda item: (-item[1][0], item[0]))
+            rows = rows[:max(1, 128 * self.sums.get(0, [1])[0] // POOLED.size // desk.terms.instances)]
+            self.tell(None, rows)
+            self.sums = {}
+        if self.seen:
+            self.tell(turn, list(self.seen.items()))
+            self.seen = {}
+
+    def tell(self, to: int | None, rows: list[tuple[int, list[int]]]) -> None:
+        unit = max(1, self.desk.target // 64)
+        packed = [POOLED.pack(code, min(asked, 65535), took and max(1, min(255, took // answers // unit)))
+                  for code, (asked, answers, took) in rows]
+        for i in range(0, len(packed), 50):
+            text = bytes([to is None]) + b"".join(packed[i:i + 50])
+            if to != self.desk.terms.slot_no:
+                self.desk.port.tell(to, text)
+            if to is None or to == self.desk.terms.slot_no:
+                self.hear(text)
+
+    def hear(self, text: bytes) -> None:
+        if len(text) % POOLED.size != 1 or text[0] > 1:
+            return  # not of this build
+        for code, asked, slow in POOLED.iter_unpack(text[1:]):
+            took = slow * self.desk.target // 64
+            if not text[0]:
+                row = self.sums.setdefault(code, [0, 0, 0])
+                row[0] += asked
+                row[1] += max(1, asked) * (slow > 0)
+                row[2] += max(1, asked) * took
+            elif code in self.names:
+                self.desk.admission.total += asked
+                self.desk.admission.asked[self.names[code]] += asked
+            elif code in self.hosts:
+                self.hosts[code].sends += asked
+                if took:
+                    self.desk.sender.judge(self.hosts[code], took, 1, min(8, asked))
+
+
 class Balancer(Agenda):
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
@@ -350,6 +419,7 @@
         self.failures, self.asking = 0, False
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
+        self.pool = Pool(self)
         link(self.admission, self.merging, self.placement, self.origin, self.sender)
         self.later(TICK, self.tick)
         if terms.subscribes:
@@ -384,6 +454,9 @@
         if id in self.hosts:
             self.hosts[id].rate = rate
 
+    def on_message(self, text: bytes) -> None:
+        self.pool.hear(text)
+
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
         if self.failures:
@@ -394,7 +467,7 @@
                 gone.add(id)
                 continue
             gone.discard(id)
-            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind))
+            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind, crc_hqx(id.encode(), 1)))
             if since != host.since:
                 host.since = since
                 self.restart(host)
@@ -403,6 +476,7 @@
         ready = [host for host in self.hosts.values() if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
+        self.pool.hosts = {host.code: host for host in ready} | {0: self.placement.fleet}
         self.pump()
 
     def restart(self, host: Host) -> None:
@@ -416,6 +490,8 @@
     def tick(self, _: None) -> None:
         self.admission.tick()
         self.placement.tick()
+        if self.now // TICK % 2:
+            self.pool.tick()
         self.pump()
         if self.terms.probes_rate and self.placement.ring:  # one cache a tick
             self.port.probe(self.rng.choice(self.placement.ring).id)
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -38,6 +38,8 @@
     rule_sets: dict[str, RuleSet]
     tenants: dict[str, Tenant]
     instances: int
+    slot_no: int  # its own number among them
+    peer_messages: bool
     origin_kind: str  # the kind whose entry is the origin; empty where the caches fetch for themselves
     subscribes: bool
     ask_within: int
@@ -78,7 +80,8 @@
         kinds = pairs.get("kinds", "").split(",")
         aside = pairs.get("family-info.mode") == "aside" and 0 <= kind < len(kinds)
         return cls(
-            rule_sets, tenants, max(1, int(number("instances", 1))), kinds[kind] if aside else "",
+            rule_sets, tenants, max(1, int(number("instances", 1))), int(number("slot-no", 0)),
+            yes("ceilings.peer-messages"), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
             pairs.get("report.how") == "on_probe" and yes("ceilings.probing")
             and "tps" in pairs.get("report.fields", "").split(","),
