--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -36,16 +36,19 @@
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
-        self.total, self.worst, self.pressed, self.shed = 0.0, 0, False, 0.0
+        self.known = desk.pool.on or desk.terms.instances == 1  # one of many may serve one tenant alone
+        self.worst, self.pressed, self.shed = 0, False, 0.0
 
     def take(self, req: Req, host: Host | None = None) -> None:
-        desk, self.total = self.desk, self.total + 1.0
+        desk = self.desk
         if req.tenant in self.asked:
-            self.asked[req.tenant] += 1.0
-            desk.pool.note(desk.pool.codes[req.tenant], 1)
-            part = self.asked[req.tenant] / self.total / desk.terms.tenants[req.tenant].share
+            if desk.pool.on:
+                desk.pool.note(desk.pool.codes[req.tenant], 1)
+            else:
+                self.asked[req.tenant] += 1.0
+            part = self.asked[req.tenant] / max(1.0, sum(self.asked.values())) / desk.terms.tenants[req.tenant].share
             # a tenant over its share goes first, else its excess takes from those within theirs
-            if self.shed > 0.0 and part > 1.1 and desk.rng.random() < min(self.shed, 1 - 0.4 / part):
+            if part > 1.0 and self.known and desk.rng.random() < min(self.shed, 1 - 1 / part ** 3):
                 return desk.finish(req)
         age = desk.oldest_wait(desk.placement.held, desk.origin.writes, desk.origin.held)
         self.worst = max(self.worst, age)
@@ -59,14 +62,14 @@
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
-        if (worst > desk.target // 4) != self.pressed:
+        low = desk.placement.fleet.limit < 1.0 or desk.origin.slots() < 1.0
+        if (worst > desk.target // 4 or low) != self.pressed:
             self.pressed = not self.pressed
             held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
             limits = f"{desk.placement.fleet.limit:.0f}, {desk.origin.slots():.0f}, shed {self.shed:.2f}"
             desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for "
                           f"caches, as writes, as misses {held}, limits on caches, origin {limits}")
         self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
-        self.total *= 0.8
         for name in self.asked:
             self.asked[name] *= 0.8
 
@@ -185,7 +188,7 @@
     def cut(self) -> None:
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
-        self.fleet.floor = 0.1
+        self.fleet.floor = len(self.ring) * min(2.0, 4 / self.desk.terms.instances)
 
     def resize(self, sizes: list[float]) -> None:
         """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
@@ -399,7 +402,6 @@
                 row[1] += max(1, asked) * (slow > 0)
                 row[2] += max(1, asked) * took
             elif code in self.names:
-                self.desk.admission.total += asked
                 self.desk.admission.asked[self.names[code]] += asked
             elif code in self.hosts:
                 self.hosts[code].sends += asked
@@ -417,9 +419,9 @@
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
         self.failures, self.asking = 0, False
+        self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
-        self.pool = Pool(self)
         link(self.admission, self.merging, self.placement, self.origin, self.sender)
         self.later(TICK, self.tick)
         if terms.subscribes:
@@ -483,7 +485,7 @@
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
         host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
-        host.floor = 0.1
+        host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
         host.counted, host.seen = self.now, self.placement.asked
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
