--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -35,8 +35,7 @@
     shun_until: int = 0
     credit: float = 0.0    # earned by answers, spent by further dispatches
     warm_at: int = 0       # cold until then
-    tokens: float = 0.0    # what may go to it while cold
-    seen: int = 0          # reqs that had been placed when the tokens were last counted
+    seen: int = 0          # reqs that had been placed when it last had its chance, while cold
 
 
 @dataclass(slots=True, eq=False)
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -113,29 +113,28 @@
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
         self.fleet = Host("", False, 0, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
-        self.heft, self.asked, self.drawn_at = 1.0, 0, desk.now
+        self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
-        self.asked += 1
         if not self.ring:
             return self.desk.finish(req)
         host = self.choose(req)
         if host is not None:
             return self.next.take(req, host)
-        if self.fleet.limit < 1.0:
+        if self.desk.terms.instances > 20:
             return self.desk.finish(req)
         self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
-        if not ring or not self.desk.fits(self.fleet):
+        if not ring or not (self.desk.pool.on or self.desk.fits(self.fleet)):
             return None
         i = bisect_right(self.cuts, req.slot)
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
-        for step in range(n // 2 + 1):
+        for step in range(min(2, n // 2) + 1):
             for host in (ring[i - step], ring[(i + step) % n]):
                 if self.room(host) and host not in tried:
                     return host
@@ -146,15 +145,18 @@
         now = self.desk.now
         if now < host.shun_until or (host.strikes and host.out) or not self.desk.fits(host):
             return False
-        return now >= host.warm_at or self.budget(host) >= 1.0
+        return now >= host.warm_at or self.warm_enough(host)
 
-    def budget(self, host: Host) -> float:
-        """A cold host earns its share of the own reqs, cut to its warmth: all balancers' shares add up."""
+    def warm_enough(self, host: Host) -> bool:
+        """A cold host gets its share of the own reqs sent, cut to its warmth: all balancers' shares add up.
+
+        Reqs turned away and tried again do not count, or overload would push a cold host over. Each try uses
+        the chance up, so hundreds of balancers neither wait for a whole req's worth nor save any up.
+        """
         terms = self.desk.terms
         part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
-        host.tokens = min(2.0, host.tokens + (self.asked - host.seen) * part * host.rating / self.heft)
-        host.seen = self.asked
-        return host.tokens
+        chance, host.seen = (self.placed - host.seen) * part * host.rating / self.heft, self.placed
+        return self.desk.rng.random() < chance
 
     def back(self, req: Req, sent: Sent) -> None:
         self.drain(self.held)
@@ -281,9 +283,9 @@
         if not host.is_origin:
             desk.placement.fleet.out += 1
             desk.placement.fleet.sends += 1
+            desk.placement.placed += 1
             host.sends += 1
             desk.pool.note(0, 1)
-            host.tokens -= 1.0
             desk.later(self.patience(host), self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
@@ -484,9 +486,9 @@
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
-        host.limit, host.credit, host.tokens, host.rate = FIRST_LIMIT, 2.0, 0.0, -1.0
+        host.limit, host.credit, host.rate = FIRST_LIMIT, 2.0, -1.0
         host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
-        host.counted, host.seen = self.now, self.placement.asked
+        host.counted, host.seen = self.now, self.placement.placed
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
     def tick(self, _: None) -> None:
