--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -37,19 +37,17 @@
         super().__init__(desk)
         self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
         self.known = desk.pool.on or desk.terms.instances == 1  # one of many may serve one tenant alone
-        self.worst, self.pressed, self.shed = 0, False, 0.0
+        self.worst, self.pressed, self.shed = 0, False, dict.fromkeys(desk.terms.tenants, 0.0)
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
         if req.tenant in self.asked:
+            if desk.rng.random() < self.shed[req.tenant]:
+                return desk.finish(req)
             if desk.pool.on:
                 desk.pool.note(desk.pool.codes[req.tenant], 1)
             else:
                 self.asked[req.tenant] += 1.0
-            part = self.asked[req.tenant] / max(1.0, sum(self.asked.values())) / desk.terms.tenants[req.tenant].share
-            # a tenant over its share goes first, else its excess takes from those within theirs
-            if part > 1.0 and self.known and desk.rng.random() < min(self.shed, 1 - 1 / part ** 3):
-                return desk.finish(req)
         age = desk.oldest_wait(desk.placement.held, desk.origin.writes, desk.origin.held)
         self.worst = max(self.worst, age)
         if age > desk.target // 2:  # misses that wait say nothing of the caches, which still have most keys
@@ -62,15 +60,20 @@
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
-        low = desk.placement.fleet.limit < 1.0 or desk.origin.slots() < 1.0
+        low = desk.placement.fleet.lag > desk.target * 0.3 or any(
+            host.lag > desk.target * 0.6 for host in desk.origin.hosts)
         if (worst > desk.target // 4 or low) != self.pressed:
             self.pressed = not self.pressed
             held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
-            limits = f"{desk.placement.fleet.limit:.0f}, {desk.origin.slots():.0f}, shed {self.shed:.2f}"
+            limits = f"{desk.placement.fleet.limit:.0f}, {desk.origin.slots():.0f}, shed {max(self.shed.values(), default=0):.2f}"
             desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for "
                           f"caches, as writes, as misses {held}, limits on caches, origin {limits}")
-        self.shed = min(1.0, self.shed + 0.1) if self.pressed else max(0.0, self.shed - 0.02)
-        for name in self.asked:
+        total = sum(self.asked.values()) or 1.0
+        for name, asked in self.asked.items():
+            # counted is what was let in: those who are shed ask again and would look the greedier for it
+            over = asked / total / desk.terms.tenants[name].share - 1.15
+            step = over / 4 if self.pressed and self.known else -0.02
+            self.shed[name] = max(0.0, min(0.9, self.shed[name] + step))
             self.asked[name] *= 0.8
 
 
