Slots past one cache's capacity are shared by the owner's neighbours, by pooled counts; paced probes

Cause: at full size the hottest keys draw more than one cache can serve (the design's expected trouble) and no balancer sees it alone.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -22,10 +22,11 @@
 from orchidgap.terms import ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
-REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
+REDRAW_GAP, REDRAW_SENDS, PROBE_SENDS = 5_000_000, 100, 40
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 8.0  # dispatches out at one host
+SLOTS = 1 << 16  # codes of hash slots start here, below are those of hosts and tenants
 POOLED = Struct("<HHB")  # what is told of a host or tenant: its code, how often asked, how slow in 1/64 targets
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
@@ -116,6 +117,8 @@
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
         self.fleet = Host("", False, 0, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
+        self.heat: dict[int, float] = {}  # by slot: how often asked in the last seconds, where that is often
+        self.total = 1.0
         self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -123,6 +126,7 @@
             return self.next.take(req)
         if not self.ring:
             return self.desk.finish(req)
+        self.desk.pool.note(SLOTS + req.slot, 1)
         host = self.choose(req)
         if host is not None:
             return self.next.take(req, host)
@@ -136,6 +140,9 @@
         if not ring or not (self.desk.pool.on or self.desk.fits(self.fleet)):
             return None
         i = bisect_right(self.cuts, req.slot)
+        if req.slot in self.heat:  # a key past one cache's capacity: the owner and its neighbours share it
+            k = self.desk.rng.randrange(self.owners(req.slot))
+            i = (i + (-k // 2 if k % 2 else k // 2)) % n
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         for step in range(min(2, n // 2) + 1):
             for host in (ring[i - step], ring[(i + step) % n]):
@@ -143,6 +150,11 @@
                     return host
         return None
 
+    def owners(self, slot: int) -> int:
+        """One for each mean cache's worth of reqs that the slot surely draws, beside the owner."""
+        heat = self.heat[slot]
+        return min(len(self.ring), 1 + int(max(0.0, heat - 2 * heat ** 0.5) * len(self.ring) / self.total))
+
     def room(self, host: Host) -> bool:
         """A host that was shunned gets a single req first, which tells whether it is back."""
         now = self.desk.now
@@ -209,6 +221,10 @@
             host.size = end - start
         self.cut()
 
+    def cool(self) -> None:
+        self.total = max(1.0, self.total * 0.8)
+        self.heat = {slot: heat * 0.8 for slot, heat in self.heat.items() if heat > 1.0}
+
     def tick(self) -> None:
         """Redraw all ranges by the document's formula, where enough has been counted."""
         ring, now = self.ring, self.desk.now
@@ -337,13 +353,13 @@
             desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
-    def judge(self, host: Host, took: int, gain: float, weight: int = 1) -> None:
+    def judge(self, host: Host, took: int, gain: float, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        host.lag += (took - host.lag) * weight // 8 if host.lag else took
+        host.lag += (took - host.lag) * weight // 16 if host.lag else took
         slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.3))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
-        elif host.out >= host.limit // 2 or weight > 1:
+        elif host.out >= host.limit // 2 or self.desk.pool.on:
             # a start from 8 is lost without haste; below one, a step is a tenth
             host.limit += gain / max(host.limit, 10 * gain * (host.limit < 1)) if host.cut_at else 1.0
 
@@ -375,11 +391,14 @@
         if not self.on:
             return
         desk, turn = self.desk, self.desk.now // POOL_GAP % self.desk.terms.instances
+        desk.placement.cool()
         if self.sums and turn != desk.terms.slot_no:
             # the price of what is told stays tied to the traffic: half a message a req, the busiest first
-            rows = sorted(self.sums.items(), key=lambda item: (-item[1][0], item[0]))
-            rows = rows[:max(1, 128 * self.sums.get(0, [1])[0] // POOLED.size // desk.terms.instances)]
-            self.tell(None, rows)
+            asked = self.sums.get(0, [1])[0]
+            often = max(2.0, asked / 4 / max(1, len(desk.placement.ring)))
+            rows = sorted(((code, row) for code, row in self.sums.items() if code < SLOTS or row[0] >= often),
+                          key=lambda item: (-item[1][0], item[0]))
+            self.tell(None, rows[:max(1, 128 * asked // POOLED.size // desk.terms.instances)])
             self.sums = {}
         if self.seen:
             self.tell(turn, list(self.seen.items()))
@@ -387,31 +406,36 @@
 
     def tell(self, to: int | None, rows: list[tuple[int, list[int]]]) -> None:
         unit = max(1, self.desk.target // 64)
-        packed = [POOLED.pack(code, min(asked, 65535), took and max(1, min(255, took // answers // unit)))
-                  for code, (asked, answers, took) in rows]
-        for i in range(0, len(packed), 50):
-            text = bytes([to is None]) + b"".join(packed[i:i + 50])
-            if to != self.desk.terms.slot_no:
-                self.desk.port.tell(to, text)
-            if to is None or to == self.desk.terms.slot_no:
-                self.hear(text)
+        for kind in (0, 1):
+            packed = [POOLED.pack(code % SLOTS, min(asked, 65535), took and max(1, min(255, took // answers // unit)))
+                      for code, (asked, answers, took) in rows if code // SLOTS == kind]
+            for i in range(0, len(packed), 50):
+                text = bytes([kind * 2 + (to is None)]) + b"".join(packed[i:i + 50])
+                if to != self.desk.terms.slot_no:
+                    self.desk.port.tell(to, text)
+                if to is None or to == self.desk.terms.slot_no:
+                    self.hear(text)
 
     def hear(self, text: bytes) -> None:
-        if len(text) % POOLED.size != 1 or text[0] > 1:
+        if len(text) % POOLED.size != 1 or text[0] > 3:
             return  # not of this build
+        place = self.desk.placement
         for code, asked, slow in POOLED.iter_unpack(text[1:]):
             took = slow * self.desk.target // 64
-            if not text[0]:
-                row = self.sums.setdefault(code, [0, 0, 0])
+            if text[0] in (0, 2):
+                row = self.sums.setdefault(code + SLOTS * (text[0] // 2), [0, 0, 0])
                 row[0] += asked
                 row[1] += max(1, asked) * (slow > 0)
                 row[2] += max(1, asked) * took
+            elif text[0] == 3:
+                place.heat[code] = place.heat.get(code, 0.0) + asked
             elif code in self.names:
                 self.desk.admission.asked[self.names[code]] += asked
             elif code in self.hosts:
+                place.total += asked if code == 0 else 0
                 self.hosts[code].sends += asked
                 if took:
-                    self.desk.sender.judge(self.hosts[code], took, 1, min(8, asked))
+                    self.desk.sender.judge(self.hosts[code], took, 1, min(16, asked))
 
 
 class Balancer(Agenda):
@@ -423,7 +447,7 @@
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
-        self.failures, self.asking = 0, False
+        self.failures, self.asking, self.probe_at = 0, False, 0
         self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
@@ -500,7 +524,8 @@
         if self.now // TICK % 2:
             self.pool.tick()
         self.pump()
-        if self.terms.probes_rate and self.placement.ring:  # one cache a tick
+        if self.terms.probes_rate and self.placement.ring and self.placement.placed >= self.probe_at:
+            self.probe_at = self.placement.placed + PROBE_SENDS  # a fixed pace cost a light balancer 1.8 probes a req
             self.port.probe(self.rng.choice(self.placement.ring).id)
         self.later(TICK, self.tick)
 
