--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -26,6 +26,7 @@
     limit: float = 0.0     # how many may be out
     floor: float = 1.0     # below which the limit does not fall
     cut_at: int = 0        # when the limit was last lowered
+    judged_at: int = 0     # when an answer last counted for its lag
     sends: int = 0         # since the last redraw, a refusal for being full counted twice
     counted: int = 0       # since when they are counted
     rate: float = -1.0     # reqs a second by its last report, negative where unheard
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -23,11 +23,12 @@
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS, PROBE_SENDS = 5_000_000, 100, 40
+RECOVERY = 12  # response targets until a limit that fell to nothing is one again
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 8.0  # dispatches out at one host
 SLOTS = 1 << 16  # codes of hash slots start here, below are those of hosts and tenants
-POOLED = Struct("<HHB")  # what is told of a host or tenant: its code, how often asked, how slow in 1/64 targets
+POOLED = Struct("<HBB")  # what is told of a host or tenant: its code, how often asked, how slow in 1/64 targets
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
@@ -355,17 +356,21 @@
 
     def judge(self, host: Host, took: int, gain: float, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        host.lag += (took - host.lag) * weight // 16 if host.lag else took
+        now = self.desk.now
+        fresh = host.lag and now - host.judged_at < REDRAW_GAP
+        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16 if fresh else took, now
         slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.3))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
+        elif host.limit < 1.0:
+            host.limit = self.desk.chance(host)
         elif host.out >= host.limit // 2 or self.desk.pool.on:
-            # a start from 8 is lost without haste; below one, a step is a tenth
-            host.limit += gain / max(host.limit, 10 * gain * (host.limit < 1)) if host.cut_at else 1.0
+            host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
-            host.limit = max(host.floor, min(host.limit, (1 + host.is_origin) * (host.out + 1)) * by)
+            limit = host.limit if host.limit >= 1 else self.desk.chance(host)
+            host.limit = max(host.floor, min(limit, (1 + host.is_origin) * (host.out + 1)) * by)
             host.cut_at = self.desk.now
 
 
@@ -393,12 +398,12 @@
         desk, turn = self.desk, self.desk.now // POOL_GAP % self.desk.terms.instances
         desk.placement.cool()
         if self.sums and turn != desk.terms.slot_no:
-            # the price of what is told stays tied to the traffic: half a message a req, the busiest first
+            # the price of what is told stays tied to the traffic: a message a req, the slowest first
             asked = self.sums.get(0, [1])[0]
-            often = max(2.0, asked / 4 / max(1, len(desk.placement.ring)))
+            often = max(2.0, asked / 2 / max(1, len(desk.placement.ring)))
             rows = sorted(((code, row) for code, row in self.sums.items() if code < SLOTS or row[0] >= often),
-                          key=lambda item: (-item[1][0], item[0]))
-            self.tell(None, rows[:max(1, 128 * asked // POOLED.size // desk.terms.instances)])
+                          key=lambda item: (item[0] in desk.pool.hosts and item[0] > 0, -item[1][2], item[0]))
+            self.tell(None, rows[:max(1, 256 * asked // POOLED.size // desk.terms.instances)])
             self.sums = {}
         if self.seen:
             self.tell(turn, list(self.seen.items()))
@@ -407,10 +412,11 @@
     def tell(self, to: int | None, rows: list[tuple[int, list[int]]]) -> None:
         unit = max(1, self.desk.target // 64)
         for kind in (0, 1):
-            packed = [POOLED.pack(code % SLOTS, min(asked, 65535), took and max(1, min(255, took // answers // unit)))
-                      for code, (asked, answers, took) in rows if code // SLOTS == kind]
-            for i in range(0, len(packed), 50):
-                text = bytes([kind * 2 + (to is None)]) + b"".join(packed[i:i + 50])
+            packed = [POOLED.pack(code % SLOTS, min(255, part), took and max(1, min(255, took // answers // unit)))
+                      for code, (asked, answers, took) in rows if code // SLOTS == kind
+                      for part in range(asked, -(not asked), -255)]
+            for i in range(0, len(packed), 63):
+                text = bytes([kind * 2 + (to is None)]) + b"".join(packed[i:i + 63])
                 if to != self.desk.terms.slot_no:
                     self.desk.port.tell(to, text)
                 if to is None or to == self.desk.terms.slot_no:
@@ -550,7 +556,13 @@
 
     def fits(self, host: Host) -> bool:
         """Limits of hundreds of balancers add up: below one, a limit is the chance that a lone req goes."""
-        return host.out < host.limit if host.limit >= 1 else not host.out and self.rng.random() < host.limit
+        if host.limit >= 1.0:
+            return host.out < host.limit
+        return not host.out and self.rng.random() < self.chance(host)
+
+    def chance(self, host: Host) -> float:
+        """It recovers with time: where little goes, no answers come that could raise it."""
+        return min(1.0, host.limit + (self.now - host.cut_at) / (RECOVERY * self.target))
 
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
