A req that its owner's limit turns away counts twice for the redraw

Cause: what spilled to neighbours no longer counted for the owner, so a crowded range grew at redraws.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -149,6 +149,9 @@
             for host in (ring[i - step], ring[(i + step) % n]):
                 if self.room(host) and host not in tried:
                     return host
+                if not step and not self.desk.fits(host):  # as one refused for being full: or a crowded range grows
+                    host.sends += 2
+                    self.desk.pool.note(host.code, 2)
         return None
 
     def owners(self, slot: int) -> int:
