--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -131,14 +131,14 @@
         host = self.choose(req)
         if host is not None:
             return self.next.take(req, host)
-        if self.desk.terms.instances > 20:
-            return self.desk.finish(req)
+        if not self.ring[bisect_right(self.cuts, req.slot)].out:
+            return self.desk.finish(req)  # nothing is out that would make room
         self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
-        if not ring or not (self.desk.pool.on or self.desk.fits(self.fleet)):
+        if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
         if req.slot in self.heat:  # a key past one cache's capacity: the owner and its neighbours share it
