A dispatch out for six tenths of the target counts as slow at once; silence shuns no more

Cause: most lost reqs timed out at crowded caches, and the limits heard of it only at the time-out. The shun of silent hosts goes: it needed two dispatches out at one host.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -309,21 +309,14 @@
             desk.placement.placed += 1
             host.sends += 1
             desk.pool.note(0, 1)
-            desk.later(self.patience(host), self.late, sent)
+            desk.later(desk.target * 6 // 10, self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
-    def patience(self, host: Host) -> int:
-        target = self.desk.target
-        return min(3 * max(self.desk.placement.fleet.lag, host.lag, target // 30), target * 3 // 5)
-
     def late(self, sent: Sent) -> None:
-        host = sent.host
-        if sent.verdict:
-            return
-        if host.heard >= sent.at:  # it answers others: slow work is no reason to leave it
-            self.desk.later(self.patience(host), self.late, sent)
-        elif host.out > 1:  # nothing heard of several: it died before the list says so
-            self.shun(host, self.patience(host))
+        """A dispatch that is still out counts as a slow answer: its time-out would tell a second too late."""
+        if not sent.verdict:
+            self.desk.pool.note(sent.host.code, 0, self.desk.now - sent.at)
+            self.judge(sent.host, self.desk.now - sent.at, 1)
 
     def shun(self, host: Host, base: int) -> None:
         """No new work for a while, longer each time it is silent again."""
