--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -23,7 +23,7 @@
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS, PROBE_SENDS = 5_000_000, 100, 40
-RECOVERY = 12  # response targets until a limit that fell to nothing is one again
+RECOVERY = 24  # response targets until a limit that fell to nothing is one again
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 8.0  # dispatches out at one host
@@ -355,7 +355,7 @@
         now = self.desk.now
         fresh = host.lag and now - host.judged_at < REDRAW_GAP
         host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16 if fresh else took, now
-        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.3))
+        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.25))
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
