--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -360,7 +360,7 @@
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
             host.limit = self.desk.chance(host)
-        elif host.out >= host.limit // 2 or self.desk.pool.on:
+        elif host.out >= host.limit // 2:
             host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
 
     def cut(self, host: Host, by: float) -> None:
