--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -14,21 +14,19 @@
 from collections.abc import Iterable
 from itertools import accumulate
 from random import Random
-from struct import Struct
 
 from orchidgap.chain import Agenda, Stage, link
 from orchidgap.ports import Port
 from orchidgap.records import Host, Req, Sent
+from orchidgap.tally import ALL, MINE, ROW, SLOTS, SUMS, Tally, code_of, rows, texts
 from orchidgap.terms import ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
-REDRAW_GAP, REDRAW_SENDS, PROBE_SENDS = 5_000_000, 100, 40
+REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
 RECOVERY = 24  # response targets until a limit that fell to nothing is one again
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 8.0  # dispatches out at one host
-SLOTS = 1 << 16  # codes of hash slots start here, below are those of hosts and tenants
-POOLED = Struct("<HBB")  # what is told of a host or tenant: its code, how often asked, how slow in 1/64 targets
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
@@ -37,24 +35,20 @@
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
-        self.asked = dict.fromkeys(desk.terms.tenants, 0.0)
-        self.known = desk.pool.on or desk.terms.instances == 1  # one of many may serve one tenant alone
-        self.worst, self.pressed, self.shed = 0, False, dict.fromkeys(desk.terms.tenants, 0.0)
+        self.let_in, self.shed = dict.fromkeys(desk.terms.tenants, 0.0), dict.fromkeys(desk.terms.tenants, 0.0)
+        self.worst, self.pressed = 0, False
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
-        if req.tenant in self.asked:
+        if req.tenant in self.shed:
             if desk.rng.random() < self.shed[req.tenant]:
                 return desk.finish(req)
-            if desk.pool.on:
-                desk.pool.note(desk.pool.codes[req.tenant], 1)
-            else:
-                self.asked[req.tenant] += 1.0
-        age = desk.oldest_wait(desk.placement.held, desk.origin.writes, desk.origin.held)
-        self.worst = max(self.worst, age)
+            desk.pool.note(code_of(req.tenant), 1)
+            self.let_in[req.tenant] += desk.terms.instances == 1
+        age = desk.oldest_wait(desk.placement.held)
+        self.worst = max(self.worst, age, desk.oldest_wait(desk.origin.held))
         if age > desk.target // 2:  # misses that wait say nothing of the caches, which still have most keys
-            if desk.oldest_wait(desk.placement.held, desk.origin.writes) > desk.target // 2:
-                return desk.finish(req)
+            return desk.finish(req)
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
@@ -62,21 +56,19 @@
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
-        low = desk.placement.fleet.lag > desk.target * 0.3 or any(
-            host.lag > desk.target * 0.6 for host in desk.origin.hosts)
-        if (worst > desk.target // 4 or low) != self.pressed:
+        lags = [host for host in (desk.placement.fleet, *desk.origin.hosts) if desk.sender.slowness(host) > 1]
+        if (worst > desk.target // 4 or bool(lags)) != self.pressed:
             self.pressed = not self.pressed
-            held = len(desk.placement.held), len(desk.origin.writes), len(desk.origin.held)
-            limits = f"{desk.placement.fleet.limit:.0f}, {desk.origin.slots():.0f}, shed {max(self.shed.values(), default=0):.2f}"
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for "
-                          f"caches, as writes, as misses {held}, limits on caches, origin {limits}")
-        total = sum(self.asked.values()) or 1.0
-        for name, asked in self.asked.items():
+            held, lag = (len(desk.placement.held), len(desk.origin.held)), desk.placement.fleet.lag // 1000
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, "
+                          f"for the origin {held}, caches lag {lag} ms, origin's limit {desk.origin.slots():.1f}, "
+                          f"shed {max(self.shed.values(), default=0):.2f}")
+        total = sum(self.let_in.values())
+        for name, count in self.let_in.items():
             # counted is what was let in: those who are shed ask again and would look the greedier for it
-            over = asked / total / desk.terms.tenants[name].share - 1.15
-            step = over / 4 if self.pressed and self.known else -0.02
-            self.shed[name] = max(0.0, min(0.9, self.shed[name] + step))
-            self.asked[name] *= 0.8
+            over = count / total / desk.terms.tenants[name].share - 1.15 if total else 0.0
+            self.shed[name] = max(0.0, min(0.9, self.shed[name] + (over / 4 if self.pressed else -0.02)))
+            self.let_in[name] *= 0.8
 
 
 class Merging(Stage):
@@ -117,7 +109,7 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.fleet = Host("", False, 0, limit=8 * FIRST_LIMIT, lag=desk.target // 8)  # all caches together
+        self.fleet = Host("", False, ALL)  # all caches together
         self.heat: dict[int, float] = {}  # by slot: how often asked in the last seconds, where that is often
         self.total = 1.0
         self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
@@ -209,7 +201,6 @@
     def cut(self) -> None:
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
-        self.fleet.floor = len(self.ring) * min(2.0, 4 / self.desk.terms.instances)
 
     def resize(self, sizes: list[float]) -> None:
         """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
@@ -251,24 +242,21 @@
 
 
 class Origin(Stage):
-    """Writes and misses go to the origin within a limit that follows how it answers; writes first."""
+    """Writes and misses go to the origin within a limit that follows how it answers."""
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
         self.hosts: list[Host] = []
-        self.writes: deque[Req] = deque()  # reads that missed are held apart
 
     def take(self, req: Req, host: Host | None = None) -> None:
         host = host or self.choose(req)
         if host is not None:
             return self.next.take(req, host)
-        held = self.writes if req.write else self.held
-        ahead = len(self.writes) + (0 if req.write else len(self.held))
         last = min(req.due, req.born + req.rule_set.response_target)
         slots, lag = self.slots(), max((host.lag for host in self.hosts), default=0)
-        if slots < 1 or self.desk.now + lag * (1 + ahead / slots) > last:
+        if slots < 1 or self.desk.now + lag * (1 + len(self.held) / slots) > last:
             return self.desk.finish(req)  # a quick deny where waiting would end in one
-        held.append(req)
+        self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
@@ -276,17 +264,12 @@
         return min(ready, key=lambda host: host.out) if ready else None
 
     def back(self, req: Req, sent: Sent) -> None:
-        self.pump()
+        self.drain(self.held)
         again = sent.verdict in FELL and sent.host.is_origin and not req.over
         if again and self.desk.may_repeat(req, sent.host):
             return self.take(req)
         self.prev.back(req, sent)
 
-    def pump(self) -> None:
-        self.drain(self.writes)
-        if not self.writes:
-            self.drain(self.held)
-
     def slots(self) -> float:
         return sum(host.limit for host in self.hosts)
 
@@ -302,66 +285,62 @@
         req.sent.append(sent)
         req.out += 1
         host.out += 1
+        host.sends += 1
         desk.pool.note(host.code, 1)
         if not host.is_origin:
-            desk.placement.fleet.out += 1
-            desk.placement.fleet.sends += 1
             desk.placement.placed += 1
-            host.sends += 1
-            desk.pool.note(0, 1)
+            desk.placement.fleet.sends += 1
+            desk.pool.note(ALL, 1)
             desk.later(desk.target * 6 // 10, self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
     def late(self, sent: Sent) -> None:
         """A dispatch that is still out counts as a slow answer: its time-out would tell a second too late."""
         if not sent.verdict:
-            self.desk.pool.note(sent.host.code, 0, self.desk.now - sent.at)
-            self.judge(sent.host, self.desk.now - sent.at, 1)
-
-    def shun(self, host: Host, base: int) -> None:
-        """No new work for a while, longer each time it is silent again."""
-        if self.desk.now >= host.shun_until:
-            host.strikes = min(host.strikes + 1, 5)
-            host.shun_until = self.desk.now + (base << host.strikes)
-            if host.strikes == 2:
-                self.desk.port.log(f"shun {host.id}: silent twice, {host.out} out, lag {host.lag // 1000} ms")
+            self.heard(sent.host, self.desk.now - sent.at)
 
     def back(self, req: Req, sent: Sent) -> None:
         desk, host, now, verdict = self.desk, sent.host, self.desk.now, sent.verdict
         if verdict in ("done", "miss"):
             if host.strikes > 1:
                 desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
-            host.heard, host.shun_until, host.strikes = now, 0, 0
-            host.credit = min(10.0, host.credit + 0.2)
+            host.shun_until, host.strikes, host.credit = 0, 0, min(10.0, host.credit + 0.2)
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
-            desk.pool.note(host.code, 0, now - sent.at)
-            self.judge(host, now - sent.at, 1)
-            if not host.is_origin:  # many balancers with few reqs for each host see a crowd only in the sum
-                took = min(now - sent.at, desk.target * 3 // 4)  # one hot cache must not weigh like a crowd
-                desk.pool.note(0, 0, took)
-                self.judge(desk.placement.fleet, took, 4)
+            self.heard(host, now - sent.at)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
-            if verdict == "full" or host.is_origin:
-                host.heard, host.sends = now, host.sends + 1
-                host.shun_until = max(host.shun_until, now + BREATHER)
-            elif verdict in ("unconnected", "reset"):
-                self.shun(host, 100_000)
-            desk.later(max(0, host.shun_until - now), desk.pump)  # or what is held waits too long
+            host.sends += verdict == "full"
+            if verdict in ("unconnected", "reset") and not host.is_origin and now >= host.shun_until:
+                host.strikes = min(host.strikes + 1, 5)  # no new work for a while, longer each time
+                host.shun_until = now + (100_000 << host.strikes)
+                if host.strikes == 2:
+                    desk.port.log(f"shun {host.id}: no connection twice, {host.out} out, lag {host.lag // 1000} ms")
+            host.shun_until = max(host.shun_until, now + BREATHER)
+            desk.later(host.shun_until - now, desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
-    def judge(self, host: Host, took: int, gain: float, weight: int = 2) -> None:
+    def heard(self, host: Host, took: int) -> None:
+        self.desk.pool.note(host.code, 0, took)
+        self.judge(host, took)
+        if not host.is_origin:
+            self.desk.pool.note(ALL, 0, took)
+            self.judge(self.desk.placement.fleet, took)
+
+    def slowness(self, host: Host) -> float:
+        return host.lag / (self.desk.target * (0.6 if host.is_origin else 0.25))
+
+    def judge(self, host: Host, took: int, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         now = self.desk.now
         fresh = host.lag and now - host.judged_at < REDRAW_GAP
         host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16 if fresh else took, now
-        slow = host.lag / (self.desk.target * (0.6 if host.is_origin else 0.25))
+        slow = self.slowness(host)
         if slow > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
             host.limit = self.desk.chance(host)
         elif host.out >= host.limit // 2:
-            host.limit += gain / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
+            host.limit += 1 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
@@ -375,69 +354,50 @@
 
     def __init__(self, desk: Balancer) -> None:
         self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
-        self.codes = {name: crc_hqx(name.encode(), 1) for name in desk.terms.tenants}
-        self.names = {code: name for name, code in self.codes.items()}
+        self.unit = max(1, desk.target // 64)
+        self.names = {code_of(name): name for name in desk.terms.tenants}
         self.hosts: dict[int, Host] = {}
-        self.seen: dict[int, list[int]] = {}  # by code: times asked, answers, their sum of times
-        self.sums: dict[int, list[int]] = {}  # the same of all balancers, while it is this one's turn
+        self.seen, self.sums = Tally(), Tally()  # own counts; those of all, while it is this one's turn
 
     def note(self, code: int, asked: int, took: int = 0) -> None:
         if self.on:
-            row = self.seen.setdefault(code, [0, 0, 0])
-            row[0] += asked
-            row[1] += took > 0
-            row[2] += took
+            self.seen.add(code, asked, took > 0, took)
 
     def tick(self) -> None:
         if not self.on:
             return
-        desk, turn = self.desk, self.desk.now // POOL_GAP % self.desk.terms.instances
+        desk, me = self.desk, self.desk.terms.slot_no
+        turn, n = desk.now // POOL_GAP % desk.terms.instances, max(1, len(desk.placement.ring))
         desk.placement.cool()
-        if self.sums and turn != desk.terms.slot_no:
-            # the price of what is told stays tied to the traffic: a message a req, the slowest first
-            asked = self.sums.get(0, [1])[0]
-            often = max(2.0, asked / 2 / max(1, len(desk.placement.ring)))
-            rows = sorted(((code, row) for code, row in self.sums.items() if code < SLOTS or row[0] >= often),
-                          key=lambda item: (item[0] in desk.pool.hosts and item[0] > 0, -item[1][2], item[0]))
-            self.tell(None, rows[:max(1, 256 * asked // POOLED.size // desk.terms.instances)])
-            self.sums = {}
-        if self.seen:
-            self.tell(turn, list(self.seen.items()))
-            self.seen = {}
-
-    def tell(self, to: int | None, rows: list[tuple[int, list[int]]]) -> None:
-        unit = max(1, self.desk.target // 64)
-        for kind in (0, 1):
-            packed = [POOLED.pack(code % SLOTS, min(255, part), took and max(1, min(255, took // answers // unit)))
-                      for code, (asked, answers, took) in rows if code // SLOTS == kind
-                      for part in range(asked, -(not asked), -255)]
-            for i in range(0, len(packed), 63):
-                text = bytes([kind * 2 + (to is None)]) + b"".join(packed[i:i + 63])
-                if to != self.desk.terms.slot_no:
-                    self.desk.port.tell(to, text)
-                if to is None or to == self.desk.terms.slot_no:
-                    self.hear(text)
+        if self.sums.rows and turn != me:
+            # the price stays tied to the traffic, a message a req at most: first what is hot, then what is slow
+            asked = self.sums.asked(ALL)
+            rows = sorted(((code, row) for code, row in self.sums.rows.items()
+                           if code < SLOTS or row[0] >= max(2, asked // 2 // n)),
+                          key=lambda item: (item[0] in self.hosts and item[0] != ALL, -item[1][2], item[0]))
+            rows = rows[:max(1, 256 * asked // ROW.size // desk.terms.instances)]
+            self.sums = Tally()
+            for text in texts(rows, SUMS, self.unit):
+                desk.port.tell(None, text)
+                self.hear(text)
+        for text in texts(list(self.seen.rows.items()), MINE, self.unit):
+            self.hear(text) if turn == me else desk.port.tell(turn, text)
+        self.seen = Tally()
 
     def hear(self, text: bytes) -> None:
-        if len(text) % POOLED.size != 1 or text[0] > 3:
-            return  # not of this build
-        place = self.desk.placement
-        for code, asked, slow in POOLED.iter_unpack(text[1:]):
-            took = slow * self.desk.target // 64
-            if text[0] in (0, 2):
-                row = self.sums.setdefault(code + SLOTS * (text[0] // 2), [0, 0, 0])
-                row[0] += asked
-                row[1] += max(1, asked) * (slow > 0)
-                row[2] += max(1, asked) * took
-            elif text[0] == 3:
-                place.heat[code] = place.heat.get(code, 0.0) + asked
+        place, (what, told) = self.desk.placement, rows(text, self.unit)
+        for code, asked, took in told:
+            if what == MINE:
+                self.sums.add(code, asked, (took > 0) * max(1, asked), took * max(1, asked))
+            elif code >= SLOTS:
+                place.heat[code - SLOTS] = place.heat.get(code - SLOTS, 0.0) + asked
             elif code in self.names:
-                self.desk.admission.asked[self.names[code]] += asked
+                self.desk.admission.let_in[self.names[code]] += asked
             elif code in self.hosts:
-                place.total += asked if code == 0 else 0
+                place.total += asked if code == ALL else 0
                 self.hosts[code].sends += asked
                 if took:
-                    self.desk.sender.judge(self.hosts[code], took, 1, min(16, asked))
+                    self.desk.sender.judge(self.hosts[code], took, min(16, asked))
 
 
 class Balancer(Agenda):
@@ -449,7 +409,7 @@
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
         self.hosts: dict[str, Host] = {}
         self.reqs: dict[int, Req] = {}
-        self.failures, self.asking, self.probe_at = 0, False, 0
+        self.failures, self.asking = 0, False
         self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
@@ -472,7 +432,6 @@
         sent.verdict = verdict
         req.out -= 1
         sent.host.out -= 1
-        self.placement.fleet.out -= not sent.host.is_origin
         if over:
             self.end(req)
         self.sender.back(req, sent)
@@ -500,7 +459,7 @@
                 gone.add(id)
                 continue
             gone.discard(id)
-            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind, crc_hqx(id.encode(), 1)))
+            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind, code_of(id)))
             if since != host.since:
                 host.since = since
                 self.restart(host)
@@ -509,12 +468,12 @@
         ready = [host for host in self.hosts.values() if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
-        self.pool.hosts = {host.code: host for host in ready} | {0: self.placement.fleet}
+        self.pool.hosts = {host.code: host for host in ready} | {ALL: self.placement.fleet}
         self.pump()
 
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
-        host.sends = host.lag = host.cut_at = host.heard = host.shun_until = host.strikes = 0
+        host.sends = host.lag = host.cut_at = host.shun_until = host.strikes = 0
         host.limit, host.credit, host.rate = FIRST_LIMIT, 2.0, -1.0
         host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
         host.counted, host.seen = self.now, self.placement.placed
@@ -526,14 +485,11 @@
         if self.now // TICK % 2:
             self.pool.tick()
         self.pump()
-        if self.terms.probes_rate and self.placement.ring and self.placement.placed >= self.probe_at:
-            self.probe_at = self.placement.placed + PROBE_SENDS  # a fixed pace cost a light balancer 1.8 probes a req
-            self.port.probe(self.rng.choice(self.placement.ring).id)
         self.later(TICK, self.tick)
 
     def pump(self, _: None = None) -> None:
         self.placement.drain(self.placement.held)
-        self.origin.pump()
+        self.origin.drain(self.origin.held)
 
     def ask_soon(self, within: int) -> None:
         """Ask for the list at a random time: instances that start or fail together must not ask together."""
@@ -564,8 +520,8 @@
         if not req.over and not req.out:
             self.finish(req)
 
-    def oldest_wait(self, *queues: deque[Req]) -> int:
-        return self.now - min(next((req.born for req in held if not req.over), self.now) for held in queues)
+    def oldest_wait(self, held: deque[Req]) -> int:
+        return self.now - next((req.born for req in held if not req.over), self.now)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
