--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -77,3 +77,34 @@
         if self.entries and (not self.woken_at or self.entries[0][0] < self.woken_at - self.SLACK):
             self.woken_at = max(self.now, self.entries[0][0]) + self.SLACK
             self.port.wake(self.woken_at - self.now, self.woken_at)
+
+
+class Door(Agenda):
+    """Ids come in here: what becomes of a dispatch is booked once and then runs up the chain."""
+
+    sender: Stage
+
+    def __init__(self, port: Port, now: int) -> None:
+        super().__init__(port, now)
+        self.reqs: dict[int, Req] = {}
+
+    def end(self, req: Req) -> None:
+        raise NotImplementedError
+
+    def on_outcome(self, id: int, number: int, verdict: str, over: bool) -> None:
+        req = self.reqs.get(id)
+        if req is None or number >= len(req.sent) or req.sent[number].verdict:
+            return
+        sent = req.sent[number]
+        sent.verdict = verdict
+        req.out -= 1
+        sent.host.out -= 1
+        if over:
+            self.end(req)
+        self.sender.back(req, sent)
+        if req.over and not req.out:
+            self.reqs.pop(id, None)
+
+    def on_hangup(self, id: int) -> None:
+        if id in self.reqs:
+            self.end(self.reqs[id])
--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -31,7 +31,6 @@
     counted: int = 0       # since when they are counted
     rate: float = -1.0     # reqs a second by its last report, negative where unheard
     lag: int = 0           # how long its answers take, smoothed
-    strikes: int = 0       # failed connections in a row
     shun_until: int = 0
     credit: float = 0.0    # earned by answers, spent by further dispatches
     warm_at: int = 0       # cold until then
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -15,7 +15,7 @@
 from itertools import accumulate
 from random import Random
 
-from orchidgap.chain import Agenda, Stage, link
+from orchidgap.chain import Door, Stage, link
 from orchidgap.ports import Port
 from orchidgap.records import Host, Req, Sent
 from orchidgap.tally import ALL, MINE, ROW, SLOTS, SUMS, Tally, code_of, rows, texts
@@ -56,13 +56,12 @@
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
-        lags = [host for host in (desk.placement.fleet, *desk.origin.hosts) if desk.sender.slowness(host) > 1]
+        lags = [host for host in (desk.placement.fleet, *desk.origin.hosts) if desk.sender.slowness(host) > 1.5]
         if (worst > desk.target // 4 or bool(lags)) != self.pressed:
             self.pressed = not self.pressed
-            held, lag = (len(desk.placement.held), len(desk.origin.held)), desk.placement.fleet.lag // 1000
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, "
-                          f"for the origin {held}, caches lag {lag} ms, origin's limit {desk.origin.slots():.1f}, "
-                          f"shed {max(self.shed.values(), default=0):.2f}")
+            held = len(desk.placement.held), len(desk.origin.held)
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, origin "
+                          f"{held}, lags {[host.lag // 1000 for host in lags]} ms, shed {max(self.shed.values(), default=0):.2f}")
         total = sum(self.let_in.values())
         for name, count in self.let_in.items():
             # counted is what was let in: those who are shed ask again and would look the greedier for it
@@ -133,8 +132,9 @@
         if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
-        if req.slot in self.heat:  # a key past one cache's capacity: the owner and its neighbours share it
-            k = self.desk.rng.randrange(self.owners(req.slot))
+        if heat := self.heat.get(req.slot, 0.0):  # past one cache's capacity the owner and its neighbours share it
+            owners = 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)  # what it draws for sure
+            k = self.desk.rng.randrange(min(n, owners))
             i = (i + (-k // 2 if k % 2 else k // 2)) % n
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         for step in range(min(2, n // 2) + 1):
@@ -146,17 +146,9 @@
                     self.desk.pool.note(host.code, 2)
         return None
 
-    def owners(self, slot: int) -> int:
-        """One for each mean cache's worth of reqs that the slot surely draws, beside the owner."""
-        heat = self.heat[slot]
-        return min(len(self.ring), 1 + int(max(0.0, heat - 2 * heat ** 0.5) * len(self.ring) / self.total))
-
     def room(self, host: Host) -> bool:
-        """A host that was shunned gets a single req first, which tells whether it is back."""
         now = self.desk.now
-        if now < host.shun_until or (host.strikes and host.out) or not self.desk.fits(host):
-            return False
-        return now >= host.warm_at or self.warm_enough(host)
+        return now >= host.shun_until and self.desk.fits(host) and (now >= host.warm_at or self.warm_enough(host))
 
     def warm_enough(self, host: Host) -> bool:
         """A cold host gets its share of the own reqs sent, cut to its warmth: all balancers' shares add up.
@@ -216,10 +208,6 @@
             host.size = end - start
         self.cut()
 
-    def cool(self) -> None:
-        self.total = max(1.0, self.total * 0.8)
-        self.heat = {slot: heat * 0.8 for slot, heat in self.heat.items() if heat > 1.0}
-
     def tick(self) -> None:
         """Redraw all ranges by the document's formula, where enough has been counted."""
         ring, now = self.ring, self.desk.now
@@ -253,10 +241,10 @@
         if host is not None:
             return self.next.take(req, host)
         last = min(req.due, req.born + req.rule_set.response_target)
-        slots, lag = self.slots(), max((host.lag for host in self.hosts), default=0)
-        if slots < 1 or self.desk.now + lag * (1 + len(self.held) / slots) > last:
+        slots, lag = sum(host.limit for host in self.hosts), max((host.lag for host in self.hosts), default=0)
+        if slots < 1 or self.desk.now + lag * (1 + (not req.write) * len(self.held) / slots) > last:
             return self.desk.finish(req)  # a quick deny where waiting would end in one
-        self.held.append(req)
+        self.held.appendleft(req) if req.write else self.held.append(req)
         self.desk.hold(req)
 
     def choose(self, req: Req) -> Host | None:
@@ -270,9 +258,6 @@
             return self.take(req)
         self.prev.back(req, sent)
 
-    def slots(self) -> float:
-        return sum(host.limit for host in self.hosts)
-
 
 class Dispatch(Stage):
     """Sends, and keeps each host's record by what comes back."""
@@ -302,20 +287,13 @@
     def back(self, req: Req, sent: Sent) -> None:
         desk, host, now, verdict = self.desk, sent.host, self.desk.now, sent.verdict
         if verdict in ("done", "miss"):
-            if host.strikes > 1:
-                desk.port.log(f"back {host.id}: answers after {host.strikes} strikes")
-            host.shun_until, host.strikes, host.credit = 0, 0, min(10.0, host.credit + 0.2)
+            host.shun_until, host.credit = 0, min(10.0, host.credit + 0.2)
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
             self.heard(host, now - sent.at)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
             host.sends += verdict == "full"
-            if verdict in ("unconnected", "reset") and not host.is_origin and now >= host.shun_until:
-                host.strikes = min(host.strikes + 1, 5)  # no new work for a while, longer each time
-                host.shun_until = now + (100_000 << host.strikes)
-                if host.strikes == 2:
-                    desk.port.log(f"shun {host.id}: no connection twice, {host.out} out, lag {host.lag // 1000} ms")
-            host.shun_until = max(host.shun_until, now + BREATHER)
+            host.shun_until = now + (BREATHER if verdict == "full" or host.is_origin else TICK)
             desk.later(host.shun_until - now, desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
@@ -368,7 +346,8 @@
             return
         desk, me = self.desk, self.desk.terms.slot_no
         turn, n = desk.now // POOL_GAP % desk.terms.instances, max(1, len(desk.placement.ring))
-        desk.placement.cool()
+        desk.placement.total = max(1.0, desk.placement.total * 0.8)
+        desk.placement.heat = {slot: heat * 0.8 for slot, heat in desk.placement.heat.items() if heat > 1.0}
         if self.sums.rows and turn != me:
             # the price stays tied to the traffic, a message a req at most: first what is hot, then what is slow
             asked = self.sums.asked(ALL)
@@ -400,7 +379,7 @@
                     self.desk.sender.judge(self.hosts[code], took, min(16, asked))
 
 
-class Balancer(Agenda):
+class Balancer(Door):
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
@@ -408,7 +387,6 @@
         self.terms, self.rng = terms, Random(seed)
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
         self.hosts: dict[str, Host] = {}
-        self.reqs: dict[int, Req] = {}
         self.failures, self.asking = 0, False
         self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
@@ -424,31 +402,10 @@
         self.reqs[id] = req
         self.admission.take(req)
 
-    def on_outcome(self, id: int, number: int, verdict: str, over: bool) -> None:
-        req = self.reqs.get(id)
-        if req is None or number >= len(req.sent) or req.sent[number].verdict:
-            return
-        sent = req.sent[number]
-        sent.verdict = verdict
-        req.out -= 1
-        sent.host.out -= 1
-        if over:
-            self.end(req)
-        self.sender.back(req, sent)
-        if req.over and not req.out:
-            self.reqs.pop(id, None)
-
-    def on_hangup(self, id: int) -> None:
-        if id in self.reqs:
-            self.end(self.reqs[id])
-
     def on_report(self, id: str, rate: float) -> None:
         if id in self.hosts:
             self.hosts[id].rate = rate
 
-    def on_message(self, text: bytes) -> None:
-        self.pool.hear(text)
-
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
         if self.failures:
@@ -473,7 +430,7 @@
 
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
-        host.sends = host.lag = host.cut_at = host.shun_until = host.strikes = 0
+        host.sends = host.lag = host.cut_at = host.shun_until = 0
         host.limit, host.credit, host.rate = FIRST_LIMIT, 2.0, -1.0
         host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
         host.counted, host.seen = self.now, self.placement.placed
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -121,7 +121,7 @@
     elif name == "STATUS_BACK":
         told(balancer, parts[1], parts[4])
     elif name == "MAIL":
-        balancer.on_message(b64decode(parts[2]))
+        balancer.pool.hear(b64decode(parts[2]))
     elif name == "BACKENDS_CHANGED":
         balancer.on_hosts(SCOPES[parts[1]], entries(more))
 
