--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -26,7 +26,7 @@
 RECOVERY = 24  # response targets until a limit that fell to nothing is one again
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
-FIRST_LIMIT = 8.0  # dispatches out at one host
+FIRST_LIMIT = 24.0  # dispatches out at one host, from all instances together
 FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
 
 
@@ -318,7 +318,7 @@
         elif host.limit < 1.0:
             host.limit = self.desk.chance(host)
         elif host.out >= host.limit // 2:
-            host.limit += 1 / host.limit if host.cut_at else 1.0  # a start from 8 is lost without haste
+            host.limit += 1 / host.limit if host.cut_at else 1.0  # the start is low, so left fast
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
@@ -375,7 +375,7 @@
             elif code in self.hosts:
                 place.total += asked if code == ALL else 0
                 self.hosts[code].sends += asked
-                if took:
+                if took and self.hosts[code].limit < 4.0:  # above, a balancer has answers enough of its own
                     self.desk.sender.judge(self.hosts[code], took, min(16, asked))
 
 
@@ -431,7 +431,7 @@
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.shun_until = 0
-        host.limit, host.credit, host.rate = FIRST_LIMIT, 2.0, -1.0
+        host.limit, host.credit, host.rate = max(2.0, FIRST_LIMIT / self.terms.instances), 2.0, -1.0
         host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
         host.counted, host.seen = self.now, self.placement.placed
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
