--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -24,6 +24,7 @@
     def __init__(self, desk: Balancer) -> None:
         self.desk = desk
         self.held: deque[Req] = deque()
+        self.hosts: list[Host] = []
 
     def choose(self, req: Req) -> Host | None:
         raise NotImplementedError
@@ -38,6 +39,9 @@
             if host is not None:
                 self.next.take(req, host)
 
+    def oldest_wait(self) -> int:
+        return self.desk.now - next((req.born for req in self.held if not req.over), self.desk.now)
+
     def take(self, req: Req, host: Host | None = None) -> None:
         self.next.take(req, host)
 
@@ -87,6 +91,7 @@
     def __init__(self, port: Port, now: int) -> None:
         super().__init__(port, now)
         self.reqs: dict[int, Req] = {}
+        self.hosts: dict[str, Host] = {}
 
     def end(self, req: Req) -> None:
         raise NotImplementedError
@@ -108,3 +113,7 @@
     def on_hangup(self, id: int) -> None:
         if id in self.reqs:
             self.end(self.reqs[id])
+
+    def on_report(self, id: str, rate: float) -> None:
+        if id in self.hosts:
+            self.hosts[id].rate = rate
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -1,7 +1,7 @@
 """All decisions of the balancer.
 
 A host program makes one `Balancer` an instance, sets `now` (whole microseconds) before each call, and calls
-`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_wake` and `on_report` as things happen.
+`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_wake`, `on_report` and `pool.hear` as things happen.
 The balancer acts through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
 A req runs down the chain Admission, Merging, Placement, Origin, Dispatch; what comes back runs up it.
 """
@@ -10,7 +10,6 @@
 
 from binascii import crc_hqx
 from bisect import bisect_right
-from collections import deque
 from collections.abc import Iterable
 from itertools import accumulate
 from random import Random
@@ -35,8 +34,8 @@
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
-        self.let_in, self.shed = dict.fromkeys(desk.terms.tenants, 0.0), dict.fromkeys(desk.terms.tenants, 0.0)
-        self.worst, self.pressed = 0, False
+        self.let_in = dict.fromkeys(desk.terms.tenants, 0.0)  # reqs by tenant, in the last seconds
+        self.shed, self.worst, self.pressed = self.let_in.copy(), 0, False
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
@@ -45,8 +44,8 @@
                 return desk.finish(req)
             desk.pool.note(code_of(req.tenant), 1)
             self.let_in[req.tenant] += desk.terms.instances == 1
-        age = desk.oldest_wait(desk.placement.held)
-        self.worst = max(self.worst, age, desk.oldest_wait(desk.origin.held))
+        age = desk.placement.oldest_wait()
+        self.worst = max(self.worst, age, desk.origin.oldest_wait())
         if age > desk.target // 2:  # misses that wait say nothing of the caches, which still have most keys
             return desk.finish(req)
         self.next.take(req)
@@ -56,12 +55,13 @@
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
-        lags = [host for host in (desk.placement.fleet, *desk.origin.hosts) if desk.sender.slowness(host) > 1.5]
+        lags = [host.lag // 1000 for host in (desk.placement.fleet, *desk.origin.hosts)
+                if desk.sender.slowness(host) > 1.5]
         if (worst > desk.target // 4 or bool(lags)) != self.pressed:
             self.pressed = not self.pressed
-            held = len(desk.placement.held), len(desk.origin.held)
-            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for caches, origin "
-                          f"{held}, lags {[host.lag // 1000 for host in lags]} ms, shed {max(self.shed.values(), default=0):.2f}")
+            held, shed = (len(desk.placement.held), len(desk.origin.held)), max(self.shed.values(), default=0)
+            desk.port.log(f"overload {'on' if self.pressed else 'off'}: waited {worst // 1000} ms, held for "
+                          f"caches, origin {held}, lags of all caches, origin {lags} ms, shed {shed:.2f}")
         total = sum(self.let_in.values())
         for name, count in self.let_in.items():
             # counted is what was let in: those who are shed ask again and would look the greedier for it
@@ -116,13 +116,11 @@
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
-        if not self.ring:
-            return self.desk.finish(req)
         self.desk.pool.note(SLOTS + req.slot, 1)
         host = self.choose(req)
-        if host is not None:
+        if host:
             return self.next.take(req, host)
-        if not self.ring[bisect_right(self.cuts, req.slot)].out:
+        if not self.ring or not self.ring[bisect_right(self.cuts, req.slot)].out:
             return self.desk.finish(req)  # nothing is out that would make room
         self.held.append(req)
         self.desk.hold(req)
@@ -132,32 +130,27 @@
         if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
-        if heat := self.heat.get(req.slot, 0.0):  # past one cache's capacity the owner and its neighbours share it
-            owners = 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)  # what it draws for sure
-            k = self.desk.rng.randrange(min(n, owners))
+        if heat := self.heat.get(req.slot, 0.0):  # what is surely past one cache's worth is shared
+            k = self.desk.rng.randrange(min(n, 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)))
             i = (i + (-k // 2 if k % 2 else k // 2)) % n
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         for step in range(min(2, n // 2) + 1):
-            for host in (ring[i - step], ring[(i + step) % n]):
+            for host in (ring[i - step], ring[(i + step) % n]):  # the owner is asked twice
                 if self.room(host) and host not in tried:
                     return host
-                if not step and not self.desk.fits(host):  # as one refused for being full: or a crowded range grows
-                    host.sends += 2
-                    self.desk.pool.note(host.code, 2)
+                if not step and not self.desk.fits(host):  # twice refused counts two, or a crowded range grows
+                    host.sends += 1
+                    self.desk.pool.note(host.code, 1)
         return None
 
     def room(self, host: Host) -> bool:
-        now = self.desk.now
-        return now >= host.shun_until and self.desk.fits(host) and (now >= host.warm_at or self.warm_enough(host))
-
-    def warm_enough(self, host: Host) -> bool:
-        """A cold host gets its share of the own reqs sent, cut to its warmth: all balancers' shares add up.
-
-        Reqs turned away and tried again do not count, or overload would push a cold host over. Each try uses
-        the chance up, so hundreds of balancers neither wait for a whole req's worth nor save any up.
-        """
-        terms = self.desk.terms
-        part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - self.desk.now) / terms.warm_after
+        """A cold host gets its share of the reqs sent, cut to its warmth; those asked would push it over."""
+        now, terms = self.desk.now, self.desk.terms
+        if now < host.shun_until or not self.desk.fits(host):
+            return False
+        if now >= host.warm_at:
+            return True
+        part = 1.0 - (1.0 - terms.cold_from) * (host.warm_at - now) / terms.warm_after
         chance, host.seen = (self.placed - host.seen) * part * host.rating / self.heft, self.placed
         return self.desk.rng.random() < chance
 
@@ -165,7 +158,7 @@
         self.drain(self.held)
         if sent.verdict in FELL and not (req.over or req.missed or sent.host.is_origin):
             host = self.choose(req)
-            if host is not None and host.credit >= 1.0 and self.desk.may_repeat(req, host):
+            if host and host.credit >= 1.0 and self.desk.may_repeat(req, host):
                 host.credit -= 1.0
                 return self.next.take(req, host)
         self.prev.back(req, sent)
@@ -210,8 +203,7 @@
 
     def tick(self) -> None:
         """Redraw all ranges by the document's formula, where enough has been counted."""
-        ring, now = self.ring, self.desk.now
-        n = len(ring)
+        ring, now, n = self.ring, self.desk.now, len(self.ring)
         if not ring or now - self.drawn_at < REDRAW_GAP or self.fleet.sends < REDRAW_SENDS * n:
             return
         warm = [host for host in ring if now >= host.warm_at]
@@ -232,10 +224,6 @@
 class Origin(Stage):
     """Writes and misses go to the origin within a limit that follows how it answers."""
 
-    def __init__(self, desk: Balancer) -> None:
-        super().__init__(desk)
-        self.hosts: list[Host] = []
-
     def take(self, req: Req, host: Host | None = None) -> None:
         host = host or self.choose(req)
         if host is not None:
@@ -253,9 +241,9 @@
 
     def back(self, req: Req, sent: Sent) -> None:
         self.drain(self.held)
-        again = sent.verdict in FELL and sent.host.is_origin and not req.over
-        if again and self.desk.may_repeat(req, sent.host):
-            return self.take(req)
+        if sent.verdict in FELL and sent.host.is_origin and not req.over:
+            if self.desk.may_repeat(req, sent.host):
+                return self.take(req)
         self.prev.back(req, sent)
 
 
@@ -310,10 +298,10 @@
     def judge(self, host: Host, took: int, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         now = self.desk.now
-        fresh = host.lag and now - host.judged_at < REDRAW_GAP
-        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16 if fresh else took, now
-        slow = self.slowness(host)
-        if slow > 1.0:
+        if not host.lag or now - host.judged_at >= REDRAW_GAP:  # an old lag says nothing
+            host.lag = took
+        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16, now
+        if (slow := self.slowness(host)) > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
             host.limit = self.desk.chance(host)
@@ -322,13 +310,13 @@
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
-            limit = host.limit if host.limit >= 1 else self.desk.chance(host)
+            limit = max(host.limit, self.desk.chance(host))
             host.limit = max(host.floor, min(limit, (1 + host.is_origin) * (host.out + 1)) * by)
             host.cut_at = self.desk.now
 
 
 class Pool:
-    """What all balancers see, where they may talk: each tells one of them, in turn, which tells the sums to all."""
+    """What all see, where they may talk: each balancer tells one, in turn, which tells the sums to all."""
 
     def __init__(self, desk: Balancer) -> None:
         self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
@@ -345,18 +333,17 @@
         if not self.on:
             return
         desk, me = self.desk, self.desk.terms.slot_no
-        turn, n = desk.now // POOL_GAP % desk.terms.instances, max(1, len(desk.placement.ring))
-        desk.placement.total = max(1.0, desk.placement.total * 0.8)
-        desk.placement.heat = {slot: heat * 0.8 for slot, heat in desk.placement.heat.items() if heat > 1.0}
+        turn, place = desk.now // POOL_GAP % desk.terms.instances, desk.placement
+        place.total = max(1.0, place.total * 0.8)
+        place.heat = {slot: heat * 0.8 for slot, heat in place.heat.items() if heat > 1.0}
         if self.sums.rows and turn != me:
-            # the price stays tied to the traffic, a message a req at most: first what is hot, then what is slow
-            asked = self.sums.asked(ALL)
-            rows = sorted(((code, row) for code, row in self.sums.rows.items()
-                           if code < SLOTS or row[0] >= max(2, asked // 2 // n)),
+            # the price is tied to the traffic, a message a req at most: first what is hot, then what is slow
+            asked, self.sums, sums = self.sums.asked(ALL), Tally(), self.sums.rows
+            often = max(2, asked // 2 // max(1, len(place.ring)))
+            told = sorted((item for item in sums.items() if item[0] < SLOTS or item[1][0] >= often),
                           key=lambda item: (item[0] in self.hosts and item[0] != ALL, -item[1][2], item[0]))
-            rows = rows[:max(1, 256 * asked // ROW.size // desk.terms.instances)]
-            self.sums = Tally()
-            for text in texts(rows, SUMS, self.unit):
+            most = max(1, 256 * asked // ROW.size // desk.terms.instances)
+            for text in texts(told[:most], SUMS, self.unit):
                 desk.port.tell(None, text)
                 self.hear(text)
         for text in texts(list(self.seen.rows.items()), MINE, self.unit):
@@ -386,8 +373,7 @@
         super().__init__(port, now)
         self.terms, self.rng = terms, Random(seed)
         self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
-        self.hosts: dict[str, Host] = {}
-        self.failures, self.asking = 0, False
+        self.failures = 0  # of calls for the list, in a row
         self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
@@ -402,20 +388,15 @@
         self.reqs[id] = req
         self.admission.take(req)
 
-    def on_report(self, id: str, rate: float) -> None:
-        if id in self.hosts:
-            self.hosts[id].rate = rate
-
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
         if self.failures:
             return self.ask_soon(min(self.terms.ask_within // 4, 1_000_000 << min(self.failures, 3)))
         gone = set() if scope == "changes" else set(self.hosts)
         for id, state, since, zone, kind, cell, rating in entries:
+            (gone.add if state == "gone" else gone.discard)(id)
             if state == "gone":
-                gone.add(id)
                 continue
-            gone.discard(id)
             host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind, code_of(id)))
             if since != host.since:
                 host.since = since
@@ -431,8 +412,8 @@
     def restart(self, host: Host) -> None:
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.shun_until = 0
-        host.limit, host.credit, host.rate = max(2.0, FIRST_LIMIT / self.terms.instances), 2.0, -1.0
-        host.floor = min(2.0, 8 / self.terms.instances) if host.is_origin else min(1.0, 4 / self.terms.instances)
+        host.limit, host.credit, host.rate = min(8.0, max(2.0, FIRST_LIMIT / self.terms.instances)), 2.0, -1.0
+        host.floor = (1 + host.is_origin) * min(1.0, 4 / self.terms.instances)
         host.counted, host.seen = self.now, self.placement.placed
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
@@ -450,13 +431,7 @@
 
     def ask_soon(self, within: int) -> None:
         """Ask for the list at a random time: instances that start or fail together must not ask together."""
-        if not self.asking:
-            self.asking = True
-            self.later(self.rng.randrange(within + 1), self.ask)
-
-    def ask(self, _: None) -> None:
-        self.asking = False
-        self.port.subscribe()
+        self.later(self.rng.randrange(within + 1), lambda _: self.port.subscribe())
 
     def hold(self, req: Req) -> None:
         """It waits with nothing out, at most until its response target."""
@@ -477,17 +452,11 @@
         if not req.over and not req.out:
             self.finish(req)
 
-    def oldest_wait(self, held: deque[Req]) -> int:
-        return self.now - next((req.born for req in held if not req.over), self.now)
-
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
-        rule_set = req.rule_set
-        if len(req.sent) >= self.terms.max_dispatches:
-            return False
-        doubtful = [] if rule_set.replayable else req.suspects()
-        if not doubtful:
-            return True
+        rule_set, doubtful = req.rule_set, [] if req.rule_set.replayable else req.suspects()
+        if len(req.sent) >= self.terms.max_dispatches or not doubtful:
+            return len(req.sent) < self.terms.max_dispatches
         if not rule_set.uniqued or self.now - doubtful[0].at >= rule_set.repeat_window:
             return False  # it may have run, and nobody would drop the repeat
         return rule_set.group == "all" or all(
@@ -495,8 +464,8 @@
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        rule_set = req.rule_set
-        if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
+        rules = req.rule_set
+        if rules.replayable or not req.suspects() or (rules.uniqued and rules.group == "all"):
             self.port.deny(req.id, self.terms.max_pause // 2)
         else:
             self.port.abort(req.id)
