--- a/orchidgap/tally.py
+++ b/orchidgap/tally.py
@@ -41,7 +41,7 @@
     ((0, []), (0, []), (0, []))
     """
     for kind in (0, 1):
-        packed = [ROW.pack(code % SLOTS, min(255, part), took and max(1, min(255, took // max(1, answers) // unit)))
+        packed = [ROW.pack(code % SLOTS, min(255, part), took and max(1, min(255, took // answers // unit)))
                   for code, (asked, answers, took) in rows if code // SLOTS == kind
                   for part in range(asked, -(not asked), -255)]
         for i in range(0, len(packed), FULL):
