--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -138,9 +138,9 @@
             for host in (ring[i - step], ring[(i + step) % n]):  # the owner is asked twice
                 if self.room(host) and host not in tried:
                     return host
-                if not step and not self.desk.fits(host):  # two such count two, or a crowded range grows
-                    host.sends += 1
-                    self.desk.pool.note(host.code, 1)
+                if not step and not self.desk.fits(host):  # counts twice, or a crowded range grows
+                    host.sends += 2
+                    self.desk.pool.note(host.code, 2)
         return None
 
     def room(self, host: Host) -> bool:
