--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -130,7 +130,8 @@
         if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
-        if heat := self.heat.get(req.slot, 0.0):  # what is surely past one cache's worth is shared
+        heat = self.heat.get(req.slot, 0.0)  # what is surely past one cache's worth is shared, once it is crowded
+        if heat and ring[i].cut_at and self.desk.now - ring[i].cut_at < RECOVERY * self.desk.target:
             k = self.desk.rng.randrange(min(n, 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)))
             i = (i + (-k // 2 if k % 2 else k // 2)) % n
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
