--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -102,7 +102,7 @@
 
 
 class Placement(Stage):
-    """The range's owner serves the key; a neighbour only where the owner is shunned, cold or has no room."""
+    """The range's owner serves the key; a neighbour only where the owner rests, is cold or has no room."""
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
@@ -130,7 +130,7 @@
         if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
-        heat = self.heat.get(req.slot, 0.0)  # what is surely past one cache's worth is shared, once it is crowded
+        heat = self.heat.get(req.slot, 0.0)  # what is surely past one cache's worth is shared, if crowded
         if heat and ring[i].cut_at and self.desk.now - ring[i].cut_at < RECOVERY * self.desk.target:
             k = self.desk.rng.randrange(min(n, 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)))
             i = (i + (-k // 2 if k % 2 else k // 2)) % n
@@ -140,8 +140,7 @@
                 if self.room(host) and host not in tried:
                     return host
                 if not step and not self.desk.fits(host):  # counts twice, or a crowded range grows
-                    host.sends += 2
-                    self.desk.pool.note(host.code, 2)
+                    self.desk.pool.count(host, 2)
         return None
 
     def room(self, host: Host) -> bool:
@@ -259,12 +258,10 @@
         req.sent.append(sent)
         req.out += 1
         host.out += 1
-        host.sends += 1
-        desk.pool.note(host.code, 1)
+        desk.pool.count(host, 1)
         if not host.is_origin:
             desk.placement.placed += 1
-            desk.placement.fleet.sends += 1
-            desk.pool.note(ALL, 1)
+            desk.pool.count(desk.placement.fleet, 1)
             desk.later(desk.target * 6 // 10, self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
@@ -281,7 +278,7 @@
             self.heard(host, now - sent.at)
         elif verdict in FELL:
             self.cut(host, 0.7)  # a crowded host makes no connections in time either
-            host.sends += verdict == "full"
+            desk.pool.count(host, verdict == "full")
             host.shun_until = now + (BREATHER if verdict == "full" or host.is_origin else TICK)
             desk.later(host.shun_until - now, desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
@@ -330,6 +327,10 @@
         if self.on:
             self.seen.add(code, asked, took > 0, took)
 
+    def count(self, host: Host, sends: int) -> None:
+        host.sends += 0 if self.on else sends  # else they come back with the sums, the same for all balancers
+        self.note(host.code, sends)
+
     def tick(self) -> None:
         if not self.on:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -253,6 +253,8 @@
     slot = next(req.slot for req in [desk.reqs[desk.put(1)]])
     desk.outcome(1, "done")
     desk.placement.heat, desk.placement.total = {slot: 300.0}, 1000.0
+    assert len({desk.owner(1) for _ in range(60)}) == 1, "its owner is not crowded"
+    desk.hosts[desk.owner(1)].cut_at = desk.now
     assert len({desk.owner(1) for _ in range(60)}) == 3 and len({desk.owner(2) for _ in range(60)}) == 1
 
 
