--- a/orchidgap/ports.py
+++ b/orchidgap/ports.py
@@ -24,9 +24,6 @@
     def wake(self, delay: int, token: int) -> None:
         """Ask for the token back after the delay."""
 
-    def probe(self, host: str) -> None:
-        """Ask a host for a sign of life and its load."""
-
     def subscribe(self) -> None:
         """Ask for the host list and all later changes to it."""
 
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -43,7 +43,6 @@
     origin_kind: str  # the kind whose entry is the origin; empty where the caches fetch for themselves
     subscribes: bool
     ask_within: int
-    probes_rate: bool  # a probe tells a cache's reqs a second, and nothing else does
     max_dispatches: int
     may_cancel: bool
     max_pause: int  # 0 where clients are told no comeback time
@@ -83,8 +82,6 @@
             rule_sets, tenants, max(1, int(number("instances", 1))), int(number("slot-no", 0)),
             yes("ceilings.peer-messages"), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
-            pairs.get("report.how") == "on_probe" and yes("ceilings.probing")
-            and "tps" in pairs.get("report.fields", "").split(","),
             int(number("ceilings.most-dispatches", 3)),
             yes("ceilings.may-cancel"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -44,9 +44,6 @@
     def wake(self, delay: int, token: int) -> None:
         self.say(f"WAKE_ME {delay} {token}")
 
-    def probe(self, host: str) -> None:
-        self.say(f"ASK_LOAD {host}")
-
     def subscribe(self) -> None:
         self.say("STREAM_CHANGES 1")
 
