No host built for a known list entry, tenant codes made once, one queue to drain

A re-read of the change: every list entry built a host and its code only to throw them away where the host was known, the code of a tenant was computed for each req, and drain took a queue that is always the stage's own.

--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -29,13 +29,13 @@
     def choose(self, req: Req) -> Host | None:
         raise NotImplementedError
 
-    def drain(self, held: deque[Req]) -> None:
+    def drain(self) -> None:
         """Send on what is held, oldest first, as long as `choose` finds a host."""
-        while held:
-            host = None if held[0].over else self.choose(held[0])
-            if host is None and not held[0].over:
+        while self.held:
+            host = None if self.held[0].over else self.choose(self.held[0])
+            if host is None and not self.held[0].over:
                 return
-            req = held.popleft()
+            req = self.held.popleft()
             if host is not None:
                 self.next.take(req, host)
 
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -42,7 +42,7 @@
         if req.tenant in self.shed:
             if desk.rng.random() < self.shed[req.tenant]:
                 return desk.finish(req)
-            desk.pool.note(code_of(req.tenant), 1)
+            desk.pool.note(desk.pool.codes[req.tenant], 1)
             self.let_in[req.tenant] += desk.terms.instances == 1
         age = desk.placement.oldest_wait()
         self.worst = max(self.worst, age, desk.origin.oldest_wait())
@@ -110,15 +110,13 @@
         self.cuts: list[int] = []   # where each range ends
         self.fleet = Host("", False, ALL)  # all caches together
         self.heat: dict[int, float] = {}  # by slot: how often asked in the last seconds, where that is often
-        self.total = 1.0
-        self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
+        self.total, self.heft, self.placed, self.drawn_at = 1.0, 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
         self.desk.pool.note(SLOTS + req.slot, 1)
-        host = self.choose(req)
-        if host:
+        if host := self.choose(req):
             return self.next.take(req, host)
         if not self.ring or not self.ring[bisect_right(self.cuts, req.slot)].out:
             return self.desk.finish(req)  # nothing is out that would make room
@@ -155,7 +153,7 @@
         return self.desk.rng.random() < chance
 
     def back(self, req: Req, sent: Sent) -> None:
-        self.drain(self.held)
+        self.drain()
         if sent.verdict in FELL and not (req.over or req.missed or sent.host.is_origin):
             host = self.choose(req)
             if host and host.credit >= 1.0 and self.desk.may_repeat(req, host):
@@ -240,7 +238,7 @@
         return min(ready, key=lambda host: host.out) if ready else None
 
     def back(self, req: Req, sent: Sent) -> None:
-        self.drain(self.held)
+        self.drain()
         if sent.verdict in FELL and sent.host.is_origin and not req.over:
             if self.desk.may_repeat(req, sent.host):
                 return self.take(req)
@@ -295,10 +293,9 @@
 
     def judge(self, host: Host, took: int, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        now = self.desk.now
-        if not host.lag or now - host.judged_at >= REDRAW_GAP:  # an old lag says nothing
+        if not host.lag or self.desk.now - host.judged_at >= REDRAW_GAP:  # an old lag says nothing
             host.lag = took
-        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16, now
+        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16, self.desk.now
         if (slow := self.slowness(host)) > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
@@ -319,7 +316,8 @@
     def __init__(self, desk: Balancer) -> None:
         self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
         self.unit = max(1, desk.target // 64)
-        self.names = {code_of(name): name for name in desk.terms.tenants}
+        self.codes = {name: code_of(name) for name in desk.terms.tenants}
+        self.names = {code: name for name, code in self.codes.items()}
         self.hosts: dict[int, Host] = {}
         self.seen, self.sums = Tally(), Tally()  # own counts; those of all, while it is this one's turn
 
@@ -399,7 +397,9 @@
             (gone.add if state == "gone" else gone.discard)(id)
             if state == "gone":
                 continue
-            host = self.hosts.setdefault(id, Host(id, kind == self.terms.origin_kind, code_of(id)))
+            if id not in self.hosts:
+                self.hosts[id] = Host(id, kind == self.terms.origin_kind, code_of(id))
+            host = self.hosts[id]
             if since != host.since:
                 host.since = since
                 self.restart(host)
@@ -428,8 +428,8 @@
         self.later(TICK, self.tick)
 
     def pump(self, _: None = None) -> None:
-        self.placement.drain(self.placement.held)
-        self.origin.drain(self.origin.held)
+        self.placement.drain()
+        self.origin.drain()
 
     def ask_soon(self, within: int) -> None:
         """Ask for the list at a random time: instances that start or fail together must not ask together."""
@@ -466,8 +466,8 @@
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        rules = req.rule_set
-        if rules.replayable or not req.suspects() or (rules.uniqued and rules.group == "all"):
+        rule_set = req.rule_set
+        if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
             self.port.deny(req.id, self.terms.max_pause // 2)
         else:
             self.port.abort(req.id)
