--- /dev/null
+++ b/orchidgap/net/__init__.py
@@ -0,0 +1,1 @@
+"""The balancer on sockets. By peer: clients, hosts, registry; `node` joins them to the decisions."""
--- /dev/null
+++ b/orchidgap/net/connection.py
@@ -0,0 +1,167 @@
+"""A connection: a socket with callbacks and bounded buffers, and how far what was sent on it came."""
+
+from __future__ import annotations
+
+import os
+import socket
+from enum import IntEnum
+from typing import NamedTuple, Protocol
+
+from orchidgap.net.loop import READ, WRITE, Loop, Timer
+
+LINGER = 1_000_000    # for the other side to read our last words
+MOST_OUT = 1 << 18    # bytes waiting to be written
+
+
+class Reach(IntEnum):
+    """How far a dispatch came."""
+
+    UNSENT = 0
+    PARTLY = 1
+    WHOLE = 2
+
+
+class Fault(NamedTuple):
+    """An error as a value. Only a dispatch whose last byte was written can have run.
+
+    >>> for cause in ("broken", "overdue", "cancelled"):
+    ...     print([Fault(reach, cause).verdict for reach in Reach])
+    ['unconnected', 'unconnected', 'reset']
+    ['moot', 'moot', 'timeout']
+    ['moot', 'moot', 'cancelled']
+    """
+
+    reach: Reach
+    cause: str  # broken, overdue or cancelled
+    what: str = ""
+
+    @property
+    def verdict(self) -> str:
+        if self.reach is Reach.WHOLE:
+            return {"broken": "reset", "overdue": "timeout"}.get(self.cause, "cancelled")
+        return "unconnected" if self.cause == "broken" else "moot"
+
+
+class Owner(Protocol):
+    def opened(self) -> None: ...
+
+    def received(self, view: memoryview) -> None:
+        """The view is gone after the call."""
+
+    def ended(self, what: str) -> None:
+        """Once, and not after `close`."""
+
+
+class Connection:
+    __slots__ = ("closing", "linger", "loop", "mask", "opening", "out", "owner", "sock", "taken")
+
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False) -> None:
+        self.loop, self.sock, self.owner, self.opening = loop, sock, owner, opening
+        self.out = bytearray()
+        self.taken = 0        # bytes that the kernel has taken so far
+        self.closing = False  # nothing more is sent, what still comes is dropped
+        self.linger: Timer | None = None
+        sock.setblocking(False)
+        if sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.mask = WRITE if opening else READ
+        loop.watch(sock, self.mask, self.ready)
+
+    @property
+    def open(self) -> bool:
+        return self.sock.fileno() >= 0
+
+    def ready(self, mask: int) -> None:
+        """Whatever goes wrong in here ends this connection and no other."""
+        try:
+            if self.open and self.opening:
+                error = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                if error:
+                    return self.end(os.strerror(error))
+                self.opening = False
+                self.rewatch()
+                self.owner.opened()
+            if self.open and mask & WRITE and self.out:
+                self.flush()
+            if self.open and mask & READ:
+                self.read()
+        except Exception as trouble:  # noqa: BLE001
+            if self.loop.trouble:
+                self.loop.trouble(trouble)
+            self.end(f"fault: {type(trouble).__name__}")
+
+    def read(self) -> None:
+        try:
+            count = self.sock.recv_into(self.loop.buffer)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            return self.end(error.strerror or "broken")
+        if not count:
+            return self.end("closed")
+        if not self.closing:
+            self.owner.received(self.loop.buffer[:count])
+
+    def send(self, *parts: bytes) -> None:
+        """Write what the kernel takes now and keep the rest."""
+        self.out += b"".join(parts)
+        if len(self.out) > MOST_OUT:
+            return self.end("not read")
+        if not self.opening:
+            self.flush()
+
+    def flush(self) -> None:
+        try:
+            while self.out:
+                count = self.sock.send(self.out)
+                self.taken += count
+                del self.out[:count]
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            return self.end(error.strerror or "broken")
+        if self.closing and not self.out:
+            self.hush()
+        self.rewatch()
+
+    def rewatch(self) -> None:
+        mask = READ | (WRITE if self.out else 0)
+        if self.open and mask != self.mask:
+            self.mask = mask
+            self.loop.rewatch(self.sock, mask, self.ready)
+
+    def stale(self) -> bool:
+        """Whether an idle connection was closed, or spoken on, since the last look."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            pass
+        return True
+
+    def finish(self) -> None:
+        """Close once all is written and read: closing on unread bytes would reset our last words away."""
+        self.closing = True
+        if not self.linger:
+            self.linger = self.loop.later(LINGER, self.end, "not read")
+        if not self.out:
+            self.hush()
+
+    def hush(self) -> None:
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError as error:
+            self.end(error.strerror or "broken")
+
+    def end(self, what: str) -> None:
+        if self.open:
+            self.close()
+            self.owner.ended(what)
+
+    def close(self) -> None:
+        if self.open:
+            if self.linger:
+                self.linger.cancel()
+            self.loop.unwatch(self.sock)
+            self.sock.close()
--- /dev/null
+++ b/orchidgap/net/hosts.py
@@ -0,0 +1,236 @@
+"""Connections to the cache hosts and the origin: a pool each, and the dispatches on their way."""
+
+from __future__ import annotations
+
+import errno
+import os
+import socket
+from collections import deque
+from collections.abc import Callable, Iterable
+
+from orchidgap.net.connection import Connection, Fault, Reach
+from orchidgap.net.http import AnswerReader
+from orchidgap.net.loop import Loop, Timer
+
+SWEEP = 1_000_000
+UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
+
+
+class Trip:
+    """One dispatch on the network. Exactly one thing comes of it."""
+
+    __slots__ = ("back", "body", "due", "head", "link", "settled")
+
+    def __init__(self, head: bytes, body: bytes, due: int, back: Callable[[str, bytes], None]) -> None:
+        self.head, self.body, self.due, self.back = head, body, due, back
+        self.link: Link | None = None
+        self.settled = False
+
+    def settle(self, verdict: str, body: bytes = b"") -> None:
+        if not self.settled:
+            self.settled = True
+            self.link = None
+            self.back(verdict, body)
+
+    def stop(self, cause: str) -> Fault:
+        """Give it up where it stands: the host sees its connection close."""
+        link, self.link = self.link, None
+        if link is None:
+            return Fault(Reach.UNSENT, cause)
+        reach = link.reach()
+        link.close()
+        return Fault(reach, cause)
+
+
+class Link:
+    """One connection to a host: opening, idle, or carrying one trip."""
+
+    __slots__ = ("conn", "idle_since", "pool", "reader", "start", "timer", "trip")
+
+    def __init__(self, pool: Pool, sock: socket.socket, trip: Trip) -> None:
+        self.pool, self.reader = pool, AnswerReader()
+        self.idle_since = self.start = 0
+        self.trip: Trip | None = trip
+        trip.link = self
+        self.conn = Connection(pool.hosts.loop, sock, self, opening=True)
+        self.timer: Timer | None = pool.hosts.loop.later(pool.hosts.connect_within, self.ended, "never came up")
+
+    def reach(self) -> Reach:
+        if self.conn.opening or self.conn.taken == self.start:
+            return Reach.UNSENT
+        return Reach.PARTLY if self.conn.out else Reach.WHOLE
+
+    def opened(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+        if self.trip:
+            self.carry(self.trip)
+
+    def carry(self, trip: Trip) -> None:
+        self.trip, trip.link = trip, self
+        self.start = self.conn.taken
+        self.reader.reset()
+        left = max(1, trip.due - self.pool.hosts.loop.now)
+        self.conn.send(trip.head, b"Request-Timeout: %.3f\r\n\r\n" % (left / 1e6), trip.body)
+
+    def received(self, view: memoryview) -> None:
+        if self.trip is None:  # nobody asked: what it would answer next cannot be trusted
+            return self.ended("spoke unasked")
+        reader = self.reader
+        reader.feed(view)
+        if reader.whole:
+            trip, self.trip = self.trip, None
+            verdict = verdict_of(reader.status, reader.fields.get(b"not-started") == b"1")
+            body = b"".join(reader.body)
+            if reader.extra or self.conn.out or not reader.parser.should_keep_alive():
+                self.close()
+            else:
+                self.pool.rest(self)
+            trip.settle(verdict, body)
+        elif reader.trouble:
+            self.ended("no proper answer")
+
+    def ended(self, what: str) -> None:
+        trip, self.trip = self.trip, None
+        fault = Fault(self.reach(), "broken", what)
+        self.close()
+        if trip and not trip.settled:
+            # not at once: this may be the decision's own call to send
+            self.pool.hosts.loop.soon(trip.settle, fault.verdict)
+
+    def close(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.trip = None
+        self.conn.close()
+        self.pool.forget(self)
+
+
+def verdict_of(status: int, not_started: bool) -> str:
+    """
+    >>> [verdict_of(*told) for told in ((200, False), (404, False), (503, True), (504, True), (503, False), (500, True))]
+    ['done', 'miss', 'full', 'full', 'error', 'error']
+    """
+    if status in (503, 504) and not_started:
+        return "full"
+    return {200: "done", 404: "miss"}.get(status, "error")
+
+
+class Pool:
+    """The connections to one host."""
+
+    def __init__(self, hosts: Hosts, address: tuple[str, int]) -> None:
+        self.hosts, self.address = hosts, address
+        self.links: dict[Link, None] = {}
+        self.idle: deque[Link] = deque()  # the newest last
+        self.retired = False              # draining or gone: what is under way may end, nothing else
+
+    def send(self, trip: Trip) -> None:
+        while self.idle:
+            link = self.idle.pop()
+            if self.worn(link) or link.conn.stale():
+                link.close()
+                continue
+            return link.carry(trip)
+        self.dial(trip)
+
+    def worn(self, link: Link) -> bool:
+        """The host closes it at the limit at the latest, and what is written from then on is a reset."""
+        return self.hosts.loop.now - link.idle_since > self.hosts.idle_for * 9 // 10
+
+    def dial(self, trip: Trip) -> None:
+        sock, what = self.hosts.socket()
+        if sock:
+            error = sock.connect_ex(self.address)
+            if error in UNDER_WAY:
+                self.links[Link(self, sock, trip)] = None
+                self.hosts.count += 1
+                return
+            sock.close()
+            what = os.strerror(error)
+        self.hosts.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", what).verdict)
+
+    def rest(self, link: Link) -> None:
+        if self.retired:
+            return link.close()
+        link.idle_since = self.hosts.loop.now
+        self.idle.append(link)
+
+    def forget(self, link: Link) -> None:
+        if link in self.links:
+            del self.links[link]
+            self.hosts.count -= 1
+            if link in self.idle:
+                self.idle.remove(link)
+
+    def retire(self) -> None:
+        """Nothing new is written: a dispatch that is still connecting ends unsent."""
+        self.retired = True
+        for link in list(self.links):
+            if link.trip is None or link.conn.opening:
+                link.ended("host drains")
+
+    def close_idle(self) -> None:
+        for link in list(self.idle):
+            link.close()
+
+
+class Hosts:
+    """All pools, by the id of their host; `most` connections together."""
+
+    def __init__(self, loop: Loop, most: int, connect_within: int, idle_for: int) -> None:
+        self.loop, self.most, self.connect_within, self.idle_for = loop, most, connect_within, idle_for
+        self.pools: dict[str, Pool] = {}
+        self.count = 0
+        loop.later(SWEEP, self.sweep)
+
+    def follow(self, whole: bool, told: Iterable[tuple[str, str, tuple[str, int]]]) -> None:
+        """The list, or a change to it, as (id, state, address)."""
+        gone = set(self.pools) if whole else set()
+        for id, state, address in told:
+            gone.discard(id)
+            pool = self.pools.get(id)
+            if state == "gone" or (pool and pool.address != address):
+                if pool:
+                    pool.retire()
+                    del self.pools[id]
+                pool = None
+            if state != "gone":
+                pool = pool or self.pools.setdefault(id, Pool(self, address))
+                if state == "up":
+                    pool.retired = False
+                else:
+                    pool.retire()
+        for id in sorted(gone):
+            self.pools.pop(id).retire()
+
+    def send(self, id: str, trip: Trip) -> None:
+        pool = self.pools.get(id)
+        if pool is None or pool.retired:
+            return self.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
+        pool.send(trip)
+
+    def socket(self) -> tuple[socket.socket | None, str]:
+        """Idle connections make way where descriptors run short."""
+        while self.count >= self.most and self.shed():
+            pass
+        if self.count >= self.most:
+            return None, "too many connections"
+        try:
+            return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK), ""
+        except OSError as error:
+            self.shed()
+            return None, error.strerror or "no socket"
+
+    def shed(self) -> bool:
+        """Close the connection that has been idle longest; whether there was one."""
+        idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
+        if idle:
+            min(idle, key=lambda link: link.idle_since).close()
+        return bool(idle)
+
+    def sweep(self) -> None:
+        for pool in self.pools.values():
+            while pool.idle and pool.worn(pool.idle[0]):
+                pool.idle[0].close()
+        self.loop.later(SWEEP, self.sweep)
--- /dev/null
+++ b/orchidgap/net/loop.py
@@ -0,0 +1,108 @@
+"""The one loop: what is ready, what is due, what comes next. It knows nothing of what it runs."""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from typing import Any
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+LONGEST = 1_000_000  # of one wait
+AT_ONCE = 1_000      # a wait shorter than this found something that was there before
+
+
+def system_clock() -> Callable[[], int]:
+    """Unix time in microseconds as at the start, carried on by the clock that never jumps."""
+    offset = time.time_ns() - time.monotonic_ns()
+    return lambda: (time.monotonic_ns() + offset) // 1000
+
+
+class Timer:
+    __slots__ = ("act", "args")
+
+    def __init__(self, act: Callable[..., None] | None, args: tuple[Any, ...]) -> None:
+        self.act, self.args = act, args
+
+    def cancel(self) -> None:
+        self.act, self.args = None, ()
+
+
+class Loop:
+    """
+    >>> loop = Loop(clock=iter(range(0, 10_000, 100)).__next__)
+    >>> _ = loop.later(150, print, "due"); loop.later(20, print, "never").cancel(); loop.soon(print, "next")
+    >>> loop.turn(); loop.turn(0); loop.turn(0)
+    due
+    next
+    """
+
+    def __init__(self, clock: Callable[[], int] | None = None,
+                 trouble: Callable[[Exception], None] | None = None) -> None:
+        self.clock = clock or system_clock()
+        self.trouble = trouble  # told of what escapes a call; without it the loop ends
+        self.selector = selectors.DefaultSelector()
+        self.timers: list[tuple[int, int, Timer]] = []
+        self.next: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
+        self.count = 0
+        self.running = True
+        self.now = self.looked = self.since = self.clock()  # since: nothing that is ready now was so before
+        self.buffer = memoryview(bytearray(1 << 16))  # what is read stands here until the next read
+
+    def watch(self, sock: socket.socket, mask: int, act: Callable[[int], None]) -> None:
+        self.selector.register(sock, mask, act)
+
+    def rewatch(self, sock: socket.socket, mask: int, act: Callable[[int], None]) -> None:
+        self.selector.modify(sock, mask, act)
+
+    def unwatch(self, sock: socket.socket) -> None:
+        self.selector.unregister(sock)
+
+    def later(self, delay: int, act: Callable[..., None], *args: Any) -> Timer:
+        return self.at(self.now + delay, act, *args)
+
+    def at(self, when: int, act: Callable[..., None], *args: Any) -> Timer:
+        timer = Timer(act, args)
+        self.count += 1
+        heappush(self.timers, (when, self.count, timer))
+        return timer
+
+    def soon(self, act: Callable[..., None], *args: Any) -> None:
+        """After the call under way: what comes of a dispatch must not run into the decision to send it."""
+        self.next.append((act, args))
+
+    def run(self) -> None:
+        while self.running:
+            self.turn()
+
+    def turn(self, longest: int = LONGEST) -> None:
+        """One round. What is ready comes before what is due: an answer that is there beats its time-out."""
+        entered = self.clock()
+        wait = 0 if self.next else longest
+        if self.timers:
+            wait = max(0, min(wait, self.timers[0][0] - entered))
+        events = self.selector.select(wait / 1e6)
+        now = self.clock()
+        self.since = self.looked if now - entered < AT_ONCE else now
+        self.now = self.looked = now
+        for key, mask in events:
+            self.call(key.data, mask)
+        self.now = self.clock()
+        while self.timers and self.timers[0][0] <= self.now:
+            timer = heappop(self.timers)[2]
+            if timer.act is not None:
+                self.call(timer.act, *timer.args)
+        for _ in range(len(self.next)):
+            act, args = self.next.popleft()
+            self.call(act, *args)
+
+    def call(self, act: Callable[..., None], *args: Any) -> None:
+        try:
+            act(*args)
+        except Exception as trouble:  # noqa: BLE001 (one call that fails must not end all others)
+            if self.trouble is None:
+                raise
+            self.trouble(trouble)
--- /dev/null
+++ b/orchidgap/net/node.py
@@ -0,0 +1,189 @@
+"""Joins the network to the decisions: a door to clients, a port to the rules. Nothing is decided here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from orchidgap.net.clients import Client, Clients
+from orchidgap.net.hosts import Hosts, Trip
+from orchidgap.net.log import Log
+from orchidgap.net.loop import Loop
+from orchidgap.net.registry import Entry, Registry
+from orchidgap.net.start import Station
+from orchidgap.rules import Balancer
+
+GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
+LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
+LAST_WORDS = 3_500_000
+TICK = 10_000
+SPARE = 24           # descriptors for all but clients and hosts
+HELD_KB = 256        # what one client can make the balancer hold: a req, its answer, and both on their way
+BASE_MB = 64         # what the program needs without any
+
+
+class Exchange:
+    """One req on the network, from its last byte to its answer and the last of its dispatches."""
+
+    __slots__ = ("body", "client", "due", "head", "id", "node", "over", "timer", "trips")
+
+    def __init__(self, node: Node, id: int, client: Client, head: bytes, body: bytes, due: int) -> None:
+        self.node, self.id, self.client, self.head, self.body, self.due = node, id, client, head, body, due
+        self.over = False
+        self.trips: list[Trip] = []
+        self.timer = node.loop.at(due, self.overdue)
+
+    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
+        if not self.over:
+            self.close()
+            self.client.answer(status, body, pause)
+
+    def close(self) -> None:
+        self.over = True
+        self.timer.cancel()
+        self.node.tidy(self)
+
+    def hangup(self) -> None:
+        if not self.over:
+            self.over = True
+            self.timer.cancel()
+            self.node.decide(self.node.balancer.on_hangup, self.id)
+            self.node.tidy(self)
+
+    def overdue(self) -> None:
+        """Its time is up: what is out has timed out, and the answer goes out now whatever comes of that."""
+        for trip in self.trips:
+            if not trip.settled:
+                trip.settle(trip.stop("overdue").verdict)
+        if not self.over:
+            self.node.note("unanswered", req=self.id)
+            self.node.decide(self.node.balancer.on_hangup, self.id)
+            self.answer(500)
+
+    def came_back(self, number: int, verdict: str, body: bytes) -> None:
+        if verdict == "done":
+            self.answer(200, body)
+        self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
+        self.node.tidy(self)
+
+
+class Node:
+    """The `ports.Port` of the decisions and the `clients.Door` of the clients."""
+
+    def __init__(self, loop: Loop, station: Station, log: Log) -> None:
+        self.loop, self.note = loop, log
+        self.station = station
+        self.reqs: dict[int, Exchange] = {}
+        self.count = 0
+        self.listed = False
+        room = station.sockets - SPARE
+        most = max(8, min(room // 2, (station.memory_mb - BASE_MB) * 1024 // HELD_KB))
+        self.clients = Clients(loop, self, most)
+        self.hosts = Hosts(loop, max(8, room - most), station.connect_within, station.idle_for)
+        self.balancer = Balancer(station.terms, self, station.seed, loop.now)
+        self.registry = Registry(loop, station.discovery, self.balancer.rng, self.on_list, log)
+
+    def start(self) -> None:
+        _, _, entries, found = self.station.known
+        self.hosts.follow(True, found)
+        self.decide(self.balancer.on_hosts, "recalled", entries)
+        self.listed = bool(entries)
+        self.registry.ask()
+
+    # --- what the network tells
+
+    def ready(self) -> bool:
+        return self.listed and not self.clients.leaving
+
+    def knows(self, rule_set: str) -> bool:
+        return rule_set in self.station.terms.rule_sets
+
+    def shed(self) -> bool:
+        return self.hosts.shed()
+
+    def take(self, client: Client, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
+             head: bytes, body: bytes) -> None:
+        self.count += 1
+        # the client counts from its send, which a loop that was held up learns late
+        due = self.loop.since + left - min(GUARD, left // 4)
+        exchange = client.asked = self.reqs[self.count] = Exchange(self, self.count, client, head, body, due)
+        self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
+                  int.from_bytes(key) if key else None, tenant, exchange=exchange)
+
+    def on_list(self, whole: bool, entries: list[Entry], found: list[tuple[str, str, tuple[str, int]]]) -> None:
+        self.hosts.follow(whole, found)
+        self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
+        self.listed = True
+
+    def decide(self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None) -> None:
+        """One call of the decisions. Where it fails, the req it was about is still answered."""
+        self.balancer.now = self.loop.now
+        try:
+            call(*args)
+        except Exception as trouble:  # noqa: BLE001
+            self.note.trouble(trouble)
+            if exchange:
+                exchange.answer(500)
+
+    def tidy(self, exchange: Exchange) -> None:
+        if exchange.over and all(trip.settled for trip in exchange.trips):
+            self.reqs.pop(exchange.id, None)
+
+    # --- what the decisions ask for
+
+    def dispatch(self, req: int, host: str) -> None:
+        exchange = self.reqs[req]
+        trip = Trip(exchange.head, exchange.body, exchange.due, partial(exchange.came_back, len(exchange.trips)))
+        exchange.trips.append(trip)
+        if exchange.over:
+            return self.loop.soon(trip.settle, "moot")
+        self.hosts.send(host, trip)
+
+    def deny(self, req: int, pause: int) -> None:
+        if req in self.reqs:
+            self.reqs[req].answer(503, pause=pause)
+
+    def abort(self, req: int) -> None:
+        if req in self.reqs:
+            self.reqs[req].answer(500)
+
+    def cancel(self, req: int, number: int) -> None:
+        if req in self.reqs:
+            trip = self.reqs[req].trips[number]
+            self.loop.soon(trip.settle, trip.stop("cancelled").verdict)
+
+    def wake(self, delay: int, token: int) -> None:
+        self.loop.later(delay, self.woke, token)
+
+    def woke(self, token: int) -> None:
+        self.decide(self.balancer.on_wake, token)
+
+    def subscribe(self) -> None:
+        self.registry.ask()
+
+    def tell(self, peer: int | None, text: bytes) -> None:
+        """The protocol has no words for it; `start` tells the decisions so."""
+
+    def log(self, line: str) -> None:
+        self.note("mode", what=line)
+
+    # --- the end
+
+    def leave(self) -> None:
+        if not self.clients.leaving:
+            self.note("leaving", reqs=len(self.reqs), clients=len(self.clients.open))
+            self.clients.leave()
+            self.loop.later(LAST_CALL, self.clients.shut)
+            self.loop.later(LAST_CALL + TICK, self.end_if_done)
+            self.loop.later(LAST_WORDS, self.end)
+
+    def end_if_done(self) -> None:
+        if any(not exchange.over for exchange in self.reqs.values()) or self.clients.open:
+            self.loop.later(TICK, self.end_if_done)
+        else:
+            self.end()
+
+    def end(self) -> None:
+        self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()))
+        self.loop.running = False
--- /dev/null
+++ b/orchidgap/net/registry.py
@@ -0,0 +1,137 @@
+"""The list of hosts: fetched whole, then watched for changes on one connection to the agent."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import orjson
+
+from orchidgap.net.connection import Connection
+from orchidgap.net.http import AnswerReader
+from orchidgap.net.loop import Loop, Timer
+
+WATCH_MS = 5_000            # how long a watch may wait: silence beyond it is noticed
+GRACE = 1_000_000           # after which an answer that is due is held to be lost
+FIRST, LONGEST = 100_000, 2_000_000  # back-off
+SHORTEST = 20_000           # a watch that tells nothing in less is not asked again at once
+MOST = 1 << 22              # bytes of a list
+STATES = {"Ready": "up", "Terminating": "draining", "Gone": "gone"}
+
+Entry = tuple[str, str, int, str, str, str, float]
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """
+    >>> address_of("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    >>> address_of("127.0.0.1")
+    Traceback (most recent call last):
+        ...
+    ValueError: not an address: '127.0.0.1'
+    """
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def decoded(told: Any) -> tuple[int, bool, list[Entry], list[tuple[str, str, tuple[str, int]]]]:
+    """The version, whether the list is whole, its entries, and where each host is found.
+
+    >>> decoded({"seq": 4, "whole": False, "hosts": [{"host": "s", "dial": "127.0.0.2:7", "site": "a", "class": "m",
+    ...     "block": 3, "health": "Ready", "share": 1, "born_ms": 5}]})
+    (4, False, [('s', 'up', 5000, 'a', 'm', '3', 1.0)], [('s', 'up', ('127.0.0.2', 7))])
+    """
+    entries, found = [], []
+    for host in told["hosts"]:
+        state = STATES[host["health"]]
+        entries.append((str(host["host"]), state, int(host.get("born_ms") or 0) * 1000, str(host.get("site")),
+                        str(host.get("class")), str(host.get("block")), float(host.get("share", 1.0))))
+        found.append((str(host["host"]), state, address_of(host["dial"]) if state != "gone" else ("", 0)))
+    return int(told["seq"]), bool(told["whole"]), entries, found
+
+
+class Registry:
+    def __init__(self, loop: Loop, address: tuple[str, int], rng: Random,
+                 heard: Callable[[bool, list[Entry], list[tuple[str, str, tuple[str, int]]]], None],
+                 log: Callable[..., None]) -> None:
+        self.loop, self.address, self.rng, self.heard, self.log = loop, address, rng, heard, log
+        self.version: int | None = None  # of the list held, None until it was fetched whole
+        self.failures = 0
+        self.asked_at = 0
+        self.out = False                 # a call is out
+        self.conn: Connection | None = None
+        self.reader = AnswerReader()
+        self.timer: Timer | None = None
+
+    def set_timer(self, delay: int, act: Callable[..., None], *args: Any) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.later(delay, act, *args)
+
+    def ask(self) -> None:
+        if self.out:
+            return
+        if self.conn is None or not self.conn.open:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            sock.connect_ex(self.address)
+            self.reader = AnswerReader()
+            self.reader.most = MOST
+            self.conn = Connection(self.loop, sock, self, opening=True)
+        self.reader.reset()
+        self.out, self.asked_at = True, self.loop.now
+        path, wait = "/discovery/hosts", 0
+        if self.version is not None:
+            path, wait = f"{path}?after={self.version}&wait_ms={WATCH_MS}", WATCH_MS * 1000
+        self.set_timer(wait + GRACE, self.ended, "silence")
+        self.conn.send(f"GET {path} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
+
+    def opened(self) -> None:
+        if self.conn:
+            self.conn.flush()
+
+    def received(self, view: memoryview) -> None:
+        self.reader.feed(view)
+        if self.reader.trouble or not self.out:
+            self.ended("no proper answer")
+        elif self.reader.whole:
+            self.out = False
+            self.answered()
+
+    def answered(self) -> None:
+        reader = self.reader
+        try:
+            if reader.status != 200:
+                raise ValueError(f"status {reader.status}")
+            version, whole, entries, found = decoded(orjson.loads(b"".join(reader.body)))
+            if self.version is None and not whole:
+                raise ValueError("changes to a list that is not held")
+        except (ValueError, TypeError, KeyError, AttributeError) as trouble:
+            return self.ended(f"bad answer: {trouble!r}"[:120])
+        if self.failures:
+            self.log("list back", failures=self.failures)
+        self.failures, self.version = 0, version
+        if not reader.parser.should_keep_alive():
+            self.drop()
+        if whole or entries:
+            self.heard(whole, entries, found)
+        idle = not entries and self.loop.now - self.asked_at < SHORTEST
+        self.set_timer(100_000 if idle else 0, self.ask)
+
+    def ended(self, what: str) -> None:
+        """The list held still applies; ask again, at a random time, as others will."""
+        self.drop()
+        self.failures += 1
+        if self.failures in (1, 10, 100):
+            self.log("list lost", why=what, failures=self.failures)
+        longest = min(LONGEST, FIRST << min(self.failures - 1, 6))
+        self.set_timer(self.rng.randrange(longest // 2, longest), self.ask)
+
+    def drop(self) -> None:
+        self.out = False
+        if self.conn:
+            self.conn.close()
+            self.conn = None
--- /dev/null
+++ b/orchidgap/net/start.py
@@ -0,0 +1,87 @@
+"""What the program is told at start: one JSON file, named by GW_CONFIG."""
+
+from __future__ import annotations
+
+import resource
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+import orjson
+
+from orchidgap.net.registry import Entry, address_of, decoded
+from orchidgap.terms import MissingTerm, ServiceTerms
+
+
+class BadStart(Exception):
+    """One plain line that tells why the program cannot start."""
+
+
+class Station(NamedTuple):
+    """Where this balancer stands and what it may use."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    memory_mb: int
+    known: tuple[int, bool, list[Entry], list[tuple[str, str, tuple[str, int]]]]
+    terms: ServiceTerms
+    connect_within: int
+    idle_for: int
+
+
+def flat(tree: Any, path: str = "") -> Iterator[tuple[str, str]]:
+    """
+    >>> dict(flat({"a": {"b": 1, "c": True}, "d": [{"e": "x y"}], "f": ["u", "v,w"], "g": None, "h": []}))
+    {'a.b': '1', 'a.c': 'true', 'd.count': '1', 'd.0.e': 'x y', 'f': 'u,v_w', 'h': ''}
+    """
+    if isinstance(tree, Mapping):
+        for name, branch in tree.items():
+            yield from flat(branch, f"{path}.{name}" if path else name)
+    elif isinstance(tree, list) and any(isinstance(branch, Mapping) for branch in tree):
+        yield f"{path}.count", str(len(tree))
+        for i, branch in enumerate(tree):
+            yield from flat(branch, f"{path}.{i}")
+    elif isinstance(tree, list):
+        yield path, ",".join(str(leaf).replace(",", "_") for leaf in tree)
+    elif tree is not None:
+        yield path, str(tree).lower() if isinstance(tree, bool) else str(tree)
+
+
+def read(path: str | None) -> Station:
+    if not path:
+        raise BadStart("GW_CONFIG names no file")
+    try:
+        with open(path, "rb") as file:
+            told = orjson.loads(file.read())
+    except OSError as trouble:
+        raise BadStart(f"{path}: {trouble.strerror}") from None
+    except ValueError as trouble:
+        raise BadStart(f"{path} is not JSON: {trouble}") from None
+    try:
+        return station(told)
+    except MissingTerm as trouble:
+        raise BadStart(f"{path}: {trouble}") from None
+    except KeyError as trouble:
+        raise BadStart(f"{path}: {trouble.args[0]} is missing or unknown") from None
+    except (ValueError, TypeError, AttributeError) as trouble:
+        raise BadStart(f"{path}: {trouble}") from None
+
+
+def station(told: Any) -> Station:
+    if not isinstance(told, Mapping):
+        raise ValueError("an object was expected")
+    pairs = dict(flat(told["settings"]))
+    pairs["ceilings.peer-messages"] = "false"  # the protocol has no words for them
+    limits = told.get("limits") or {}
+    most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = min(int(limits.get("sockets") or most), most)
+    if sockets < 64:
+        raise ValueError(f"{sockets} descriptors are too few")
+    known = decoded(told.get("known") or {"seq": 0, "whole": True, "hosts": []})
+    return Station(
+        str(told.get("name", "")), address_of(told["listen"]), address_of(told["discovery"]),
+        int(str(told.get("seed") or 0), 16), sockets, int(limits.get("memory_mb") or 1024), known,
+        ServiceTerms.read(pairs), int(pairs.get("ceilings.connect-timeout", 250_000)),
+        int(pairs.get("ceilings.conn-idle", 15_000_000)))
