Whether a link lasts is asked while its answer is parsed: links are used again

Checked with a probe: the parser told by itself 'not kept alive' for every whole answer, as it had been reset by then; hosts closing early was ruled out (0 closed as idle). At fault: Link.received asking should_keep_alive after the feed.

--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -90,7 +90,7 @@
 
     def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
         reader, self.asked = self.reader, None
-        last = not reader.extra and (self.clients.leaving or not reader.parser.should_keep_alive())
+        last = not reader.extra and (self.clients.leaving or not reader.lasts)
         self.conn.send(http.answer(status, body, last, pause))
         if reader.extra:
             self.refuse(400)  # it did not wait for its answer
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -82,7 +82,7 @@
             trip, self.trip = self.trip, None
             verdict = verdict_of(reader.status, reader.fields.get(b"not-started") == b"1")
             body = b"".join(reader.body)
-            if reader.extra or self.conn.out or not reader.parser.should_keep_alive():
+            if reader.extra or self.conn.out or not reader.lasts:
                 self.close()
             else:
                 self.pool.rest(self)
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -19,7 +19,7 @@
     parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
     def __init__(self) -> None:
-        self.begun = self.whole = self.headed = self.extra = False
+        self.begun = self.whole = self.headed = self.extra = self.lasts = False
         self.size = self.status = 0
         self.target = b""
         self.fields: dict[bytes, bytes] = {}
@@ -29,7 +29,7 @@
 
     def reset(self) -> None:
         """Make room for the next message."""
-        self.begun = self.whole = self.headed = self.extra = False
+        self.begun = self.whole = self.headed = self.extra = self.lasts = False
         self.size = 0
         self.target = b""
         self.fields, self.body = {}, []
@@ -85,7 +85,10 @@
             self.body.append(part)
 
     def on_message_complete(self) -> None:
-        self.whole = True
+        if not self.whole:
+            self.whole = True
+            # asked later, the parser has forgotten: every link was then closed after one answer
+            self.lasts = self.parser.should_keep_alive()
 
 
 class ReqReader(Reader):
@@ -121,12 +124,11 @@
         self.parser = httptools.HttpResponseParser(self)
 
     def on_message_complete(self) -> None:
-        if self.whole:
-            return
-        self.status = self.parser.get_status_code()
+        if not self.whole:
+            self.status = self.parser.get_status_code()
         if 100 <= self.status < 200:
             return self.reset()
-        self.whole = True
+        super().on_message_complete()
 
 
 def split(target: bytes) -> tuple[str, bytes]:
--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -114,7 +114,7 @@
         if self.failures:
             self.log("list back", failures=self.failures)
         self.failures, self.version = 0, version
-        if not reader.parser.should_keep_alive():
+        if not reader.lasts:
             self.drop()
         if whole or entries:
             self.heard(whole, entries, found)
