--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -39,7 +39,8 @@
         sys.exit(f"orchidgap: {trouble}")
     print(f"balancer {station.name} on {station.listen[0]}:{station.listen[1]}, list from "
           f"{station.discovery[0]}:{station.discovery[1]}, {len(station.known[2])} hosts known, "
-          f"rule sets {', '.join(station.terms.rule_sets)}, {station.sockets} descriptors, {station.memory_mb} MB")
+          f"rule sets {', '.join(station.terms.rule_sets)}, "
+          f"{station.sockets} descriptors, {station.memory_mb} MB")
 
 
 if __name__ == "__main__":
--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -12,7 +12,7 @@
 from orchidgap.records import Host, Req, Sent
 
 if TYPE_CHECKING:
-    from orchidgap.rules import Balancer
+    from orchidgap.rules import Balancer, Dispatch
 
 
 class Stage:
@@ -86,7 +86,7 @@
 class Door(Agenda):
     """Ids come in here: what becomes of a dispatch is booked once and then runs up the chain."""
 
-    sender: Stage
+    sender: Dispatch
 
     def __init__(self, port: Port, now: int) -> None:
         super().__init__(port, now)
--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import errno
 import socket
 from typing import Protocol
 
 import httptools
 
 from orchidgap.net import http
-from orchidgap.net.connection import Connection
+from orchidgap.net.connection import SHORT, Address, Connection
 from orchidgap.net.loop import READ, Loop, Timer
 
 PATIENCE = 10_000_000   # for a req that has begun to come whole
 RESPITE = 50_000        # before accepting again where descriptors have run out
 BACKLOG = 512
-SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+TURNED_AWAY = 16        # connections beyond the most that are told so at a time
 
 
 class Asked(Protocol):
@@ -134,7 +133,7 @@
         self.resting: Timer | None = None
         self.leaving = False
 
-    def listen(self, address: tuple[str, int]) -> None:
+    def listen(self, address: Address) -> None:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         try:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -148,7 +147,8 @@
 
     def accept(self, mask: int = READ) -> None:
         while self.listener:
-            if len(self.open) >= self.most and not self.shed():
+            crowded = len(self.open) >= self.most and not self.shed()
+            if len(self.open) >= self.most + TURNED_AWAY:
                 return self.rest()
             try:
                 sock, _ = self.listener.accept()
@@ -158,11 +158,14 @@
                 if error.errno in SHORT:  # to try again at once would spin: the connection still waits
                     return None if self.shed() or self.door.shed() else self.rest()
                 continue
-            self.let_in(sock)
+            self.let_in(sock, crowded)
 
-    def let_in(self, sock: socket.socket) -> None:
+    def let_in(self, sock: socket.socket, crowded: bool = False) -> None:
         client = Client(self, sock)
-        self.open[client] = self.idle[client] = None
+        self.open[client] = None
+        if crowded:  # left in the backlog, what it asks would count as taken and never be answered
+            return client.refuse(503)
+        self.idle[client] = None
         client.conn.ready(READ)  # what it asks has mostly come with it
 
     def shed(self) -> bool:
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import socket
 from enum import IntEnum
@@ -11,6 +12,8 @@
 
 LINGER = 1_000_000    # for the other side to read our last words
 MOST_OUT = 1 << 18    # bytes waiting to be written
+UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
+SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
 class Reach(IntEnum):
@@ -24,22 +27,43 @@
 class Fault(NamedTuple):
     """An error as a value. Only a dispatch whose last byte was written can have run.
 
-    >>> for cause in ("broken", "overdue", "cancelled"):
+    >>> for cause in ("broken", "overdue", "cancelled", "short"):
     ...     print([Fault(reach, cause).verdict for reach in Reach])
     ['unconnected', 'unconnected', 'reset']
     ['moot', 'moot', 'timeout']
     ['moot', 'moot', 'cancelled']
+    ['unconnected', 'unconnected', 'reset']
     """
 
     reach: Reach
-    cause: str  # broken, overdue or cancelled
+    cause: str  # broken, overdue, cancelled, or short (of descriptors)
     what: str = ""
 
     @property
     def verdict(self) -> str:
         if self.reach is Reach.WHOLE:
-            return {"broken": "reset", "overdue": "timeout"}.get(self.cause, "cancelled")
-        return "unconnected" if self.cause == "broken" else "moot"
+            return {"overdue": "timeout", "cancelled": "cancelled"}.get(self.cause, "reset")
+        return "moot" if self.cause in ("overdue", "cancelled") else "unconnected"
+
+
+Address = tuple[str, int]
+
+
+def dial(address: Address) -> socket.socket | Fault:
+    """A socket on its way to the address."""
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    except OSError as error:
+        cause = "short" if error.errno in SHORT else "broken"
+        return Fault(Reach.UNSENT, cause, error.strerror or "no socket")
+    try:
+        number = sock.connect_ex(address)
+    except OSError:  # the address is no address
+        number = errno.EINVAL
+    if number in UNDER_WAY:
+        return sock
+    sock.close()
+    return Fault(Reach.UNSENT, "broken", os.strerror(number))
 
 
 class Owner(Protocol):
@@ -85,7 +109,7 @@
                 self.flush()
             if self.open and mask & READ:
                 self.read()
-        except Exception as trouble:  # noqa: BLE001
+        except Exception as trouble:
             if self.loop.trouble:
                 self.loop.trouble(trouble)
             self.end(f"fault: {type(trouble).__name__}")
@@ -142,6 +166,8 @@
 
     def finish(self) -> None:
         """Close once all is written and read: closing on unread bytes would reset our last words away."""
+        if not self.open:
+            return
         self.closing = True
         if not self.linger:
             self.linger = self.loop.later(LINGER, self.end, "not read")
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -2,18 +2,15 @@
 
 from __future__ import annotations
 
-import errno
-import os
 import socket
 from collections import deque
 from collections.abc import Callable, Iterable
 
-from orchidgap.net.connection import Connection, Fault, Reach
+from orchidgap.net.connection import Address, Connection, Fault, Reach, dial
 from orchidgap.net.http import AnswerReader
 from orchidgap.net.loop import Loop, Timer
 
 SWEEP = 1_000_000
-UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
 
 
 class Trip:
@@ -53,7 +50,8 @@
         self.trip: Trip | None = trip
         trip.link = self
         self.conn = Connection(pool.hosts.loop, sock, self, opening=True)
-        self.timer: Timer | None = pool.hosts.loop.later(pool.hosts.connect_within, self.ended, "never came up")
+        hosts = pool.hosts
+        self.timer: Timer | None = hosts.loop.later(hosts.connect_within, self.ended, "never came up")
 
     def reach(self) -> Reach:
         if self.conn.opening or self.conn.taken == self.start:
@@ -108,8 +106,10 @@
 
 def verdict_of(status: int, not_started: bool) -> str:
     """
-    >>> [verdict_of(*told) for told in ((200, False), (404, False), (503, True), (504, True), (503, False), (500, True))]
-    ['done', 'miss', 'full', 'full', 'error', 'error']
+    >>> [verdict_of(status, True) for status in (200, 404, 503, 504, 500)]
+    ['done', 'miss', 'full', 'full', 'error']
+    >>> verdict_of(503, False)
+    'error'
     """
     if status in (503, 504) and not_started:
         return "full"
@@ -119,7 +119,7 @@
 class Pool:
     """The connections to one host."""
 
-    def __init__(self, hosts: Hosts, address: tuple[str, int]) -> None:
+    def __init__(self, hosts: Hosts, address: Address) -> None:
         self.hosts, self.address = hosts, address
         self.links: dict[Link, None] = {}
         self.idle: deque[Link] = deque()  # the newest last
@@ -139,16 +139,11 @@
         return self.hosts.loop.now - link.idle_since > self.hosts.idle_for * 9 // 10
 
     def dial(self, trip: Trip) -> None:
-        sock, what = self.hosts.socket()
-        if sock:
-            error = sock.connect_ex(self.address)
-            if error in UNDER_WAY:
-                self.links[Link(self, sock, trip)] = None
-                self.hosts.count += 1
-                return
-            sock.close()
-            what = os.strerror(error)
-        self.hosts.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", what).verdict)
+        came = self.hosts.dial(self.address)
+        if isinstance(came, Fault):
+            return self.hosts.loop.soon(trip.settle, came.verdict)
+        self.links[Link(self, came, trip)] = None
+        self.hosts.count += 1
 
     def rest(self, link: Link) -> None:
         if self.retired:
@@ -178,13 +173,15 @@
 class Hosts:
     """All pools, by the id of their host; `most` connections together."""
 
-    def __init__(self, loop: Loop, most: int, connect_within: int, idle_for: int) -> None:
+    def __init__(self, loop: Loop, most: int, connect_within: int, idle_for: int,
+                 dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
         self.loop, self.most, self.connect_within, self.idle_for = loop, most, connect_within, idle_for
+        self.dialer = dial
         self.pools: dict[str, Pool] = {}
         self.count = 0
         loop.later(SWEEP, self.sweep)
 
-    def follow(self, whole: bool, told: Iterable[tuple[str, str, tuple[str, int]]]) -> None:
+    def follow(self, whole: bool, told: Iterable[tuple[str, str, Address]]) -> None:
         """The list, or a change to it, as (id, state, address)."""
         gone = set(self.pools) if whole else set()
         for id, state, address in told:
@@ -210,17 +207,15 @@
             return self.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
         pool.send(trip)
 
-    def socket(self) -> tuple[socket.socket | None, str]:
+    def dial(self, address: Address) -> socket.socket | Fault:
         """Idle connections make way where descriptors run short."""
-        while self.count >= self.most and self.shed():
-            pass
-        if self.count >= self.most:
-            return None, "too many connections"
-        try:
-            return socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK), ""
-        except OSError as error:
-            self.shed()
-            return None, error.strerror or "no socket"
+        while self.count >= self.most:
+            if not self.shed():
+                return Fault(Reach.UNSENT, "short", "all connections in use")
+        came = self.dialer(address)
+        if isinstance(came, Fault) and came.cause == "short" and self.shed():
+            came = self.dialer(address)
+        return came
 
     def shed(self) -> bool:
         """Close the connection that has been idle longest; whether there was one."""
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -8,29 +8,30 @@
 
 MOST_HEAD = 1 << 14
 MOST_BODY = 1 << 16
+PADDING = 8  # times a body's bytes that its framing may take
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            503: "Service Unavailable"}
 
 
 class Reader:
-    """One message after another, out of views that do not last; what is kept of them is copied by the parser."""
+    """One message after another, out of views that do not last: the parser copies what is kept."""
 
     parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
-    def __init__(self) -> None:
+    def __init__(self, most: int = MOST_BODY) -> None:
+        self.most = most  # bytes of a body
         self.begun = self.whole = self.headed = self.extra = self.lasts = False
-        self.size = self.status = 0
+        self.size = self.raw = self.status = 0
         self.target = b""
         self.fields: dict[bytes, bytes] = {}
         self.body: list[bytes] = []
-        self.most = MOST_BODY
         self.trouble = 0  # the status that tells what is wrong with the message
 
     def reset(self) -> None:
         """Make room for the next message."""
         self.begun = self.whole = self.headed = self.extra = self.lasts = False
-        self.size = 0
+        self.size = self.raw = 0
         self.target = b""
         self.fields, self.body = {}, []
 
@@ -48,10 +49,11 @@
                 self.extra = True
             else:
                 self.trouble = self.trouble or 400
-        if not self.headed:
-            self.size += len(view)
-            if self.size > MOST_HEAD:
-                self.trouble = self.trouble or 431
+        self.raw += len(view)
+        if not self.headed and self.raw > MOST_HEAD:
+            self.trouble = self.trouble or 431
+        elif self.raw > MOST_HEAD + PADDING * self.most:  # chunks of a byte, or trailers without end
+            self.trouble = self.trouble or 413
 
     def on_message_begin(self) -> None:
         if self.whole:
@@ -63,14 +65,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not (self.whole or self.headed):  # trailers say nothing that counts
-            self.size += len(name) + len(value)
-            if self.size > 2 * MOST_HEAD:
-                self.trouble = self.trouble or 431
             self.fields[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         if not self.whole:
-            self.headed, self.size = True, 0
+            self.headed = True
             length = self.fields.get(b"content-length", b"0")
             if length.isdigit() and int(length) > self.most:
                 self.trouble = self.trouble or 413
@@ -98,29 +97,32 @@
     >>> reader.whole; reader.feed(memoryview(b"i")); reader.whole, reader.target, reader.body, reader.extra
     False
     (True, b'/a/b?c', [b'h', b'i'], False)
-    >>> reader = ReqReader(); reader.feed(memoryview(b"GET / HTTP/1.1\\r\\n\\r\\nGET /")); reader.whole, reader.extra
+    >>> reader = ReqReader(); reader.feed(memoryview(b"GET / HTTP/1.1\\r\\n\\r\\nGET /"))
+    >>> reader.whole, reader.extra
     (True, True)
     """
 
     parser: httptools.HttpRequestParser
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, most: int = MOST_BODY) -> None:
+        super().__init__(most)
         self.parser = httptools.HttpRequestParser(self)
 
 
 class AnswerReader(Reader):
     """An answer that tells no length ends with its connection, so it is never known to be whole.
 
-    >>> reader = AnswerReader(); reader.feed(memoryview(b"HTTP/1.1 100 Continue\\r\\n\\r\\nHTTP/1.1 404 No\\r\\n"))
-    >>> reader.feed(memoryview(b"Content-Length: 1\\r\\n\\r\\nxHT")); reader.status, reader.whole, reader.extra
+    >>> reader = AnswerReader()
+    >>> reader.feed(memoryview(b"HTTP/1.1 100 Continue\\r\\n\\r\\nHTTP/1.1 404 No\\r\\n"))
+    >>> reader.feed(memoryview(b"Content-Length: 1\\r\\n\\r\\nxHT"))
+    >>> reader.status, reader.whole, reader.extra
     (404, True, True)
     """
 
     parser: httptools.HttpResponseParser
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, most: int = MOST_BODY) -> None:
+        super().__init__(most)
         self.parser = httptools.HttpResponseParser(self)
 
     def on_message_complete(self) -> None:
@@ -156,8 +158,11 @@
 
 def answer(status: int, body: bytes = b"", last: bool = False, pause: int = 0) -> bytes:
     """
-    >>> answer(503, pause=1_250_000, last=True)
-    b'HTTP/1.1 503 Service Unavailable\\r\\nContent-Length: 0\\r\\nRetry-After: 1.250\\r\\nConnection: close\\r\\n\\r\\n'
+    >>> print(answer(503, pause=1_250_000, last=True).decode().replace("\\r", "").strip())
+    HTTP/1.1 503 Service Unavailable
+    Content-Length: 0
+    Retry-After: 1.250
+    Connection: close
     """
     lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(body)}"]
     if pause:
--- a/orchidgap/net/log.py
+++ b/orchidgap/net/log.py
@@ -6,6 +6,7 @@
 import select
 import time
 import traceback
+from pathlib import Path
 from typing import Any
 
 import orjson
@@ -38,4 +39,4 @@
     def trouble(self, trouble: Exception) -> None:
         last = traceback.extract_tb(trouble.__traceback__)[-4:]
         self("fault", what=f"{type(trouble).__name__}: {trouble}"[:200],
-             where=[f"{os.path.basename(frame.filename)}:{frame.lineno} {frame.name}" for frame in last])
+             where=[f"{Path(frame.filename).name}:{frame.lineno} {frame.name}" for frame in last])
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -102,7 +102,7 @@
     def call(self, act: Callable[..., None], *args: Any) -> None:
         try:
             act(*args)
-        except Exception as trouble:  # noqa: BLE001 (one call that fails must not end all others)
+        except Exception as trouble:  # one call that fails must not end all others
             if self.trouble is None:
                 raise
             self.trouble(trouble)
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from functools import partial
 from typing import Any
 
 from orchidgap.net.clients import Client, Clients
+from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.hosts import Hosts, Trip
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop
@@ -18,7 +20,7 @@
 LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
 LAST_WORDS = 3_500_000
 TICK = 10_000
-SPARE = 24           # descriptors for all but clients and hosts
+SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 256        # what one client can make the balancer hold: a req, its answer, and both on their way
 BASE_MB = 64         # what the program needs without any
 
@@ -71,7 +73,8 @@
 class Node:
     """The `ports.Port` of the decisions and the `clients.Door` of the clients."""
 
-    def __init__(self, loop: Loop, station: Station, log: Log) -> None:
+    def __init__(self, loop: Loop, station: Station, log: Log,
+                 dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
         self.loop, self.note = loop, log
         self.station = station
         self.reqs: dict[int, Exchange] = {}
@@ -80,9 +83,9 @@
         room = station.sockets - SPARE
         most = max(8, min(room // 2, (station.memory_mb - BASE_MB) * 1024 // HELD_KB))
         self.clients = Clients(loop, self, most)
-        self.hosts = Hosts(loop, max(8, room - most), station.connect_within, station.idle_for)
+        self.hosts = Hosts(loop, max(8, room - most), station.connect_within, station.idle_for, dial)
         self.balancer = Balancer(station.terms, self, station.seed, loop.now)
-        self.registry = Registry(loop, station.discovery, self.balancer.rng, self.on_list, log)
+        self.registry = Registry(loop, station.discovery, self.balancer.rng, self.on_list, log, dial)
 
     def start(self) -> None:
         _, _, entries, found = self.station.known
@@ -111,7 +114,7 @@
         self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
                   int.from_bytes(key) if key else None, tenant, exchange=exchange)
 
-    def on_list(self, whole: bool, entries: list[Entry], found: list[tuple[str, str, tuple[str, int]]]) -> None:
+    def on_list(self, whole: bool, entries: list[Entry], found: list[tuple[str, str, Address]]) -> None:
         self.hosts.follow(whole, found)
         self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
         self.listed = True
@@ -121,7 +124,7 @@
         self.balancer.now = self.loop.now
         try:
             call(*args)
-        except Exception as trouble:  # noqa: BLE001
+        except Exception as trouble:
             self.note.trouble(trouble)
             if exchange:
                 exchange.answer(500)
@@ -134,7 +137,8 @@
 
     def dispatch(self, req: int, host: str) -> None:
         exchange = self.reqs[req]
-        trip = Trip(exchange.head, exchange.body, exchange.due, partial(exchange.came_back, len(exchange.trips)))
+        back = partial(exchange.came_back, len(exchange.trips))
+        trip = Trip(exchange.head, exchange.body, exchange.due, back)
         exchange.trips.append(trip)
         if exchange.over:
             return self.loop.soon(trip.settle, "moot")
--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -9,7 +9,7 @@
 
 import orjson
 
-from orchidgap.net.connection import Connection
+from orchidgap.net.connection import Address, Connection, Fault, dial
 from orchidgap.net.http import AnswerReader
 from orchidgap.net.loop import Loop, Timer
 
@@ -23,7 +23,7 @@
 Entry = tuple[str, str, int, str, str, str, float]
 
 
-def address_of(text: str) -> tuple[str, int]:
+def address_of(text: str) -> Address:
     """
     >>> address_of("127.0.0.1:80")
     ('127.0.0.1', 80)
@@ -38,11 +38,11 @@
     return host, int(port)
 
 
-def decoded(told: Any) -> tuple[int, bool, list[Entry], list[tuple[str, str, tuple[str, int]]]]:
+def decoded(told: Any) -> tuple[int, bool, list[Entry], list[tuple[str, str, Address]]]:
     """The version, whether the list is whole, its entries, and where each host is found.
 
-    >>> decoded({"seq": 4, "whole": False, "hosts": [{"host": "s", "dial": "127.0.0.2:7", "site": "a", "class": "m",
-    ...     "block": 3, "health": "Ready", "share": 1, "born_ms": 5}]})
+    >>> decoded({"seq": 4, "whole": False, "hosts": [{"host": "s", "dial": "127.0.0.2:7", "site": "a",
+    ...     "class": "m", "block": 3, "health": "Ready", "share": 1, "born_ms": 5}]})
     (4, False, [('s', 'up', 5000, 'a', 'm', '3', 1.0)], [('s', 'up', ('127.0.0.2', 7))])
     """
     entries, found = [], []
@@ -55,10 +55,11 @@
 
 
 class Registry:
-    def __init__(self, loop: Loop, address: tuple[str, int], rng: Random,
-                 heard: Callable[[bool, list[Entry], list[tuple[str, str, tuple[str, int]]]], None],
-                 log: Callable[..., None]) -> None:
+    def __init__(self, loop: Loop, address: Address, rng: Random,
+                 heard: Callable[[bool, list[Entry], list[tuple[str, str, Address]]], None],
+                 log: Callable[..., None], dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
         self.loop, self.address, self.rng, self.heard, self.log = loop, address, rng, heard, log
+        self.dialer = dial
         self.version: int | None = None  # of the list held, None until it was fetched whole
         self.failures = 0
         self.asked_at = 0
@@ -76,11 +77,11 @@
         if self.out:
             return
         if self.conn is None or not self.conn.open:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-            sock.connect_ex(self.address)
-            self.reader = AnswerReader()
-            self.reader.most = MOST
-            self.conn = Connection(self.loop, sock, self, opening=True)
+            came = self.dialer(self.address)
+            if isinstance(came, Fault):
+                return self.ended(came.what)
+            self.reader = AnswerReader(MOST)
+            self.conn = Connection(self.loop, came, self, opening=True)
         self.reader.reset()
         self.out, self.asked_at = True, self.loop.now
         path, wait = "/discovery/hosts", 0
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -8,6 +8,7 @@
 
 import orjson
 
+from orchidgap.net.connection import Address
 from orchidgap.net.registry import Entry, address_of, decoded
 from orchidgap.terms import MissingTerm, ServiceTerms
 
@@ -20,12 +21,12 @@
     """Where this balancer stands and what it may use."""
 
     name: str
-    listen: tuple[str, int]
-    discovery: tuple[str, int]
+    listen: Address
+    discovery: Address
     seed: int
     sockets: int
     memory_mb: int
-    known: tuple[int, bool, list[Entry], list[tuple[str, str, tuple[str, int]]]]
+    known: tuple[int, bool, list[Entry], list[tuple[str, str, Address]]]
     terms: ServiceTerms
     connect_within: int
     idle_for: int
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -174,7 +174,7 @@
                 event(instance, parts, more, now)
             except Malformed:
                 raise
-            except Exception as trouble:  # noqa: BLE001 (the day must stop with a text)
+            except Exception as trouble:  # the day must stop with a text
                 if isinstance(trouble, (ValueError, KeyError)) and decoding(trouble):
                     raise Malformed(f"bad value in {name}: {line[:80]!r}") from None
                 known = isinstance(trouble, MissingTerm)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,537 @@
+import contextlib
+import errno
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import pytest
+from desk import Net, heard
+
+from orchidgap.net import start
+from orchidgap.net.connection import Fault, Reach
+from orchidgap.net.hosts import Trip
+from orchidgap.net.log import Log
+from orchidgap.net.loop import READ
+from orchidgap.net.registry import decoded
+from orchidgap.net.serve import on_stop
+
+LIST = "/discovery/hosts"
+
+
+def test_a_req_from_end_to_end():
+    net = Net()
+    client = net.ask("7f3", method="PUT", rule_set="mark", body="value")
+    origin = net.far()
+    assert heard(origin) == ("PUT /mark/7f3?q=1 HTTP/1.1\r\nHost: cache\r\nRequest-Id: r-7f3\r\nIdempotency-Key: m1\r\n"
+                             "Content-Length: 5\r\nRequest-Timeout: 1.980\r\n\r\nvalue")
+    net.says(origin, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nst")
+    assert heard(client) is None, "not a byte before the body is whole"
+    net.says(origin, "ok")
+    assert heard(client) == "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nstok"
+    assert not net.node.reqs and not net.node.balancer.reqs
+
+
+def test_a_miss_goes_on_to_the_origin_and_links_are_used_again():
+    net = Net(1)
+    for _ in range(3):
+        client = net.ask("k")
+        net.answers(net.far(0), 404)
+        net.answers(net.far(1), body="from origin")
+        assert heard(client).endswith("\r\n\r\nfrom origin")
+    assert [port for port, _ in net.dialled] == [8500, 100, 109], "each was dialled once"
+
+
+@pytest.mark.parametrize(("does", "verdict"), [
+    (lambda net, far: far.close(), "reset"),
+    (lambda net, far: (far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), far.close()), "reset"),
+    (lambda net, far: (far.sendall(b"HTTP/1.1 200 OK\r\n\r\nno length"), far.close()), "reset"),
+    (lambda net, far: far.sendall(b"\x00\x01 what"), "reset"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"), "reset"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 200 OK\r\nX: " + b"x" * 17_000), "reset"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nvHTTP/1.1 200"), "done"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nv\r\n0\r\n\r\n"), "done"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"), "full"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), "error"),
+    (lambda net, far: far.sendall(b"HTTP/1.1 302 No\r\nContent-Length: 0\r\n\r\n"), "error"),
+    (lambda net, far: net.wait(2_000_000), "timeout")])
+def test_what_a_host_does_is_told_as_it_is(does, verdict):
+    net = Net(3)
+    net.ask()
+    does(net, net.far())
+    net.turn()
+    assert net.verdicts == [verdict]
+
+
+def test_hosts_that_refuse_or_never_answer_a_connection():
+    net = Net(1)
+    net.refused.add(100)
+    client = net.ask()
+    assert net.verdicts == ["unconnected"] and "503" in heard(client)
+    net = Net(1)
+    near, _far = full_pair()
+    net.node.hosts.dialer = lambda address: near
+    client = net.ask()
+    net.wait(99_000)
+    assert net.verdicts == [] and heard(client) is None
+    net.wait(2_000)
+    assert net.verdicts == ["unconnected"] and "503" in heard(client)
+
+
+def test_an_extra_byte_costs_the_link_and_not_the_answer():
+    net = Net(1)
+    for number, more in ((0, "HTTP/1.1"), (1, "")):
+        client = net.ask()
+        net.says(net.far(number), "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv" + more)
+        assert heard(client).endswith("v") and len(net.dialled) == 2 + number
+    net.says(net.far(), "more, unasked")
+    assert not net.node.hosts.pools["c0"].idle
+
+
+def test_a_client_that_hangs_up_ends_its_dispatch():
+    net = Net()
+    client = net.ask()
+    assert heard(net.far()).startswith("GET")
+    client.close()
+    net.turn()
+    assert heard(net.far()) == "" and net.verdicts == ["cancelled"] and not net.node.reqs
+
+
+def test_an_answer_goes_out_before_the_client_timeout_and_nothing_after():
+    net = Net()
+    client = net.ask(left="0.5")
+    net.wait(479_000)
+    assert heard(client) is None
+    net.wait(2_000)
+    assert heard(client).startswith("HTTP/1.1 503") and net.verdicts == ["timeout"]
+    net.wait(5_000_000)
+    assert heard(client) is None
+
+
+def test_time_that_the_loop_was_held_up_is_taken_off():
+    net = Net()
+    near, client = socket.socketpair()
+    net.node.clients.let_in(near)
+    net.turn()
+    client.sendall(b"GET /read/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 0.5\r\n\r\n")
+    net.now += 300_000  # the req may have come at the start of this
+    net.turn()
+    net.wait(181_000)
+    assert client.recv(99).startswith(b"HTTP/1.1 503")
+
+
+def test_a_fault_in_the_decisions_still_brings_an_answer():
+    net = Net(expects=(ZeroDivisionError,))
+    net.node.balancer.on_req = lambda *_: 1 / 0
+    assert heard(net.ask()).startswith("HTTP/1.1 500") and net.log.lines == ["ZeroDivisionError"]
+    net = Net()
+    net.node.balancer.on_req = lambda *_: None  # forgets it
+    client = net.ask()
+    net.wait(2_000_000)
+    assert heard(client).startswith("HTTP/1.1 500") and "unanswered" in net.log.lines
+
+
+REQ = b"GET /read/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n"
+
+
+@pytest.mark.parametrize(("text", "status"), [
+    (b"\x16\x03\x01 nonsense\r\n\r\n", 400), (b"GET /read/k HTTP/1.1\r\nno colon\r\n\r\n", 400),
+    (b"GET  HTTP/1.1\r\n\r\n", 400), (b"POST /read/k HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405),
+    (b"GET /nosuch/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n\r\n", 404),
+    (b"GET / HTTP/1.1\r\n\r\n", 404), (b"GET //[ HTTP/1.1\r\n\r\n", 404), (b"GET http://[/ HTTP/1.1\r\n\r\n", 400),
+    (REQ + b"Request-Class: nosuch\r\n\r\n", 404), (b"GET /read/k HTTP/1.1\r\nRequest-Id: 1\r\n\r\n", 400),
+    (REQ + b"Request-Timeout: nan\r\n\r\n", 400), (b"GET /read/k HTTP/1.1\r\nRequest-Timeout: 1\r\n\r\n", 400),
+    (REQ + b"Content-Length: 70000\r\n\r\n", 413), (REQ + b"X: " + b"x" * 20_000, 431),
+    (REQ + b"Transfer-Encoding: chunked\r\n\r\n" + b"10000\r\n" + b"x" * 65_536 + b"\r\n1\r\ny", 413),
+    (REQ + b"Connection: upgrade\r\nUpgrade: x\r\n\r\n", 400), (b"CONNECT h:1 HTTP/1.1\r\n\r\n", 400)])
+def test_a_bad_req_gets_a_plain_answer_and_the_door(text, status):
+    net = Net()
+    client = net.client()
+    for i in range(0, len(text), 4096):
+        try:
+            client.sendall(text[i:i + 4096])
+        except OSError:
+            break
+        net.turn()
+    assert heard(client) == (f"HTTP/1.1 {status} {start_line(status)}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+    assert heard(client) == "" and not net.verdicts and not net.node.reqs
+    net.wait(1_100_000)
+    assert not net.node.clients.open, "it may stay no longer than it takes to read that"
+
+
+def start_line(status):
+    return {400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
+            431: "Request Header Fields Too Large"}[status]
+
+
+def test_a_req_that_never_gets_whole_is_let_go():
+    net = Net()
+    client = net.client(b"GET /read/k HT")
+    net.wait(10_100_000)
+    assert heard(client).startswith("HTTP/1.1 408")
+
+
+def test_trailers_without_end_are_cut():
+    net = Net()
+    client = net.client(REQ + b"Transfer-Encoding: chunked\r\n\r\n0\r\nX: ")
+    for _ in range(600):
+        try:
+            client.sendall(b"x" * 4096)
+        except OSError:
+            break
+        net.turn(1)
+    assert heard(client).startswith("HTTP/1.1 413")
+
+
+def test_a_second_req_before_the_first_answer_is_turned_away_after_it():
+    for split in (False, True):
+        net = Net()
+        client = net.client(REQ + b"\r\n" + (b"" if split else REQ))
+        if split:
+            net.says(client, REQ)
+        net.answers(net.far())
+        first, second = heard(client).split("HTTP/1.1 ")[1:]
+        assert first.startswith("200") and second.startswith("400") and heard(client) == ""
+
+
+def test_ready_only_with_list_and_until_told_to_stop():
+    net = Net()
+    assert heard(net.client(b"GET /up HTTP/1.1\r\n\r\n")).startswith("HTTP/1.1 200")
+    net.node.listed = False
+    assert heard(net.client(b"GET /up HTTP/1.1\r\n\r\n")).startswith("HTTP/1.1 503")
+
+
+def test_told_to_stop_it_answers_all_and_ends():
+    net = Net()
+    idle, busy = net.ask("k1"), net.ask("k2")
+    net.answers(net.far(0))
+    assert "close" not in heard(idle)
+    net.node.leave()
+    net.wait(300_000)
+    late = net.ask("k3")
+    net.wait(101_000)
+    assert heard(idle) == "" and net.loop.running
+    net.answers(net.far(1))
+    assert "Connection: close" in heard(busy) and heard(busy) == ""
+    net.wait(200_000)
+    assert net.loop.running, "one is still owed its answer"
+    net.answers(net.far(2))
+    assert "Connection: close" in heard(late)
+    busy.close()
+    late.close()
+    net.wait(50_000)
+    assert not net.loop.running
+
+
+def test_no_signal_no_stop():
+    """The ringing end of the pair was once not kept, and its end read as a signal."""
+    net, told = Net(), []
+    net.node.leave = lambda: told.append(1)
+    kept = signal.getsignal(signal.SIGTERM), signal.getsignal(signal.SIGINT)
+    bell = on_stop(net.loop, net.node)
+    try:
+        net.turn()
+        assert not told
+        signal.raise_signal(signal.SIGTERM)
+        net.turn()
+        assert told
+    finally:
+        signal.set_wakeup_fd(-1)
+        signal.signal(signal.SIGTERM, kept[0])
+        signal.signal(signal.SIGINT, kept[1])
+        bell.close()
+
+
+# --- pools
+
+def idle_links(net, many):
+    """So many links of c0, all idle, the last used last."""
+    clients = [net.ask(f"k{i}") for i in range(many)]
+    for i, client in enumerate(clients):
+        net.now += 1_000
+        net.answers(net.far(i))
+        assert heard(client).startswith("HTTP/1.1 200")
+    return [net.far(i) for i in range(many)]
+
+
+def test_the_newest_idle_link_goes_first_and_none_near_its_limit():
+    net = Net(1)
+    old, new = idle_links(net, 2)
+    for far in (old, new):
+        heard(far)
+    net.ask()
+    assert heard(new).startswith("GET") and heard(old) is None
+    net.answers(new)
+    heard(new)
+    net.now += 27_100_000
+    net.ask()
+    assert heard(new) == heard(old) == "" and heard(net.far()).startswith("GET")
+
+
+@pytest.mark.parametrize("leaves", [lambda far: far.close(), lambda far: far.sendall(b"?")])
+def test_a_link_that_was_closed_or_spoken_on_is_not_written_to(leaves):
+    net = Net(1)
+    [link] = idle_links(net, 1)
+    leaves(link)
+    near, client = socket.socketpair()  # the req comes in the same round, before the end of the link is seen
+    client.sendall(REQ + b"\r\n")
+    net.node.clients.let_in(near)
+    net.turn()
+    assert len(net.dialled) == 3 and heard(net.far()).startswith("GET") and net.verdicts == ["done"]
+
+
+@pytest.mark.parametrize(("written", "verdict"), [(True, "reset"), (False, "unconnected")])
+def test_a_stale_link_is_a_reset_unless_nothing_was_sent(written, verdict, monkeypatch):
+    net = Net(1)
+    [link] = idle_links(net, 1)
+    net.verdicts.clear()
+    monkeypatch.setattr("orchidgap.net.connection.Connection.stale", lambda conn: False)
+    near, client = socket.socketpair()
+    client.sendall(REQ + b"\r\n")
+    if not written:
+        link.close()  # between the look and the write
+    net.node.clients.let_in(near)
+    link.close()
+    net.turn()
+    assert net.verdicts == [verdict] and len(net.dialled) == 2, "no second send nobody decided"
+
+
+def test_a_dispatch_still_connecting_is_never_written_once_its_host_drains_or_the_req_is_over():
+    for health in ("Terminating", "Gone"):
+        net = Net(2)
+        near, far = full_pair()
+        net.node.hosts.dialer = lambda address, near=near: near
+        net.ask()
+        assert net.verdicts == []
+        net.node.hosts.dialer = net.dial
+        owner = next(id for id, pool in net.node.hosts.pools.items() if pool.links)
+        told = decoded({"seq": 8, "whole": False, "hosts": [net.entry(int(owner[1]), health)]})
+        net.node.on_list(False, *told[2:])
+        net.turn()
+        assert net.verdicts == ["unconnected"] and heard(net.far()).startswith("GET"), "the other serves it"
+        assert b"GET" not in far.recv(1 << 20)
+    net = Net(2)
+    near, far = full_pair()
+    net.node.hosts.dialer = lambda address, near=near: near
+    net.ask().close()
+    net.turn()
+    assert net.verdicts == ["moot"] and b"GET" not in far.recv(1 << 20)
+
+
+def full_pair():
+    """The near end does not become writable, as one that is still connecting."""
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            near.send(bytes(1 << 16))
+    return near, far
+
+
+def test_idle_links_make_way_where_descriptors_run_short():
+    net = Net(3, sockets=64)  # eight for hosts
+    assert net.node.hosts.most == 8
+    answered = 0
+    for key in range(30):
+        client = net.ask(f"k{key}")
+        net.serve()
+        answered += "200" in (heard(client) or "")
+        client.close()
+    assert answered == 30 and net.node.hosts.count <= 8
+    clients = [net.ask(f"b{key}") for key in range(9)]
+    assert net.node.hosts.count == 8 and net.verdicts[-1] == "unconnected", clients
+
+
+def test_no_descriptor_to_dial_sheds_an_idle_link_and_dials_again():
+    net = Net(2)
+    idle_links_of_both = [net.ask(f"k{key}") for key in range(8)]
+    net.serve()
+    idle, short = net.node.hosts.count, [Fault(Reach.UNSENT, "short", "none left")]
+    net.node.hosts.dialer = lambda address: short.pop() if short else net.dial(address)
+    pool = net.node.hosts.pools["c0"]
+    pool.close_idle()
+    left = net.node.hosts.count
+    pool.dial(Trip(b"GET / HTTP/1.1\r\n", b"", net.now + 10 ** 6, lambda verdict, body: None))
+    assert 0 < left < idle and net.node.hosts.count == left and not short, idle_links_of_both
+
+
+class Listener:
+    """Accepts what it is given; without descriptors it fails as the system does."""
+
+    def __init__(self, given):
+        self.given, self.calls = given, 0
+        self.pair = socket.socketpair()
+        self.pair[1].send(b"x")  # so it always looks ready
+
+    def fileno(self):
+        return self.pair[0].fileno()
+
+    def accept(self):
+        self.calls += 1
+        if not self.given:
+            raise BlockingIOError
+        if isinstance(self.given[0], OSError):
+            raise self.given.pop(0)
+        return self.given.pop(0), None
+
+    def close(self):
+        self.pair[0].close()
+
+
+def test_emfile_sheds_then_rests_and_never_spins():
+    net = Net()
+    idle = net.ask("k")
+    net.answers(net.far())
+    near, far = socket.socketpair()
+    listener = net.node.clients.listener = Listener([OSError(errno.EMFILE, "")] * 3 + [near])
+    net.loop.watch(listener, READ, net.node.clients.accept)
+    net.loop.turn(0)
+    assert heard(idle).startswith("HTTP") and heard(idle) == "", "the idle client made way"
+    net.loop.turn(0)
+    assert net.node.hosts.count == 0, "then the idle link"
+    net.loop.turn(0)
+    net.turn(20)
+    assert listener.calls == 3, "with nothing to shed it waits"
+    net.wait(51_000)
+    assert listener.calls > 3 and len(net.node.clients.open) == 1 and far.fileno() > 0
+
+
+def test_clients_beyond_the_most_are_told_so():
+    net = Net(1, sockets=64)
+    assert net.node.clients.most == 8
+    pairs = [socket.socketpair() for _ in range(30)]
+    for _, far in pairs:
+        far.setblocking(False)
+        far.sendall(REQ + b"\r\n")
+    listener = net.node.clients.listener = Listener([near for near, _ in pairs])
+    net.loop.watch(listener, READ, net.node.clients.accept)
+    net.turn(8)
+    said = [heard(far) for _, far in pairs]
+    assert all(said) is False and sum("503" in (text or "") for text in said) >= 16
+    assert len(net.node.clients.open) <= 24
+
+
+# --- the list
+
+def watched(net):
+    """The agent's end, and what has been asked there."""
+    return next(far for port, far in reversed(net.dialled) if port == 8500)
+
+
+def tells(net, seq, whole, hosts, status=200):
+    net.answers(watched(net), status, orjson.dumps({"seq": seq, "whole": whole, "hosts": hosts}).decode())
+
+
+def listed(net):
+    return {id: host.state for id, host in net.node.balancer.hosts.items()}
+
+
+def test_the_list_is_fetched_whole_and_then_watched_without_a_gap():
+    net = Net(1)
+    assert heard(watched(net)).startswith(f"GET {LIST} HTTP/1.1")
+    tells(net, 41, True, [net.entry(0), net.entry(3), net.entry(9)])
+    assert listed(net) == {"c0": "up", "c3": "up", "o": "up"}
+    assert heard(watched(net)).startswith(f"GET {LIST}?after=41&wait_ms=5000 ")
+    net.wait(3_000_000)
+    tells(net, 43, False, [net.entry(0, "Terminating"), net.entry(3, "Gone")])
+    assert listed(net) == {"c0": "draining", "o": "up"}
+    assert heard(watched(net)).startswith(f"GET {LIST}?after=43&")
+    tells(net, 43, False, [])
+    net.wait(190_000)
+    assert heard(watched(net)).startswith(f"GET {LIST}?after=43&"), "within 200 ms, and no spin"
+
+
+@pytest.mark.parametrize("does", [
+    lambda net: tells(net, 1, True, [], status=500), lambda net: tells(net, 1, False, []),
+    lambda net: net.answers(watched(net), 200, "not JSON"), lambda net: net.answers(watched(net), 200, "[]"),
+    lambda net: tells(net, 1, True, [net.entry(0, "Odd")]), lambda net: tells(net, 1, True, [{"host": "x"}]),
+    lambda net: tells(net, 1, True, [net.entry(0) | {"dial": "nowhere"}]), lambda net: watched(net).close(),
+    lambda net: net.says(watched(net), "garbage\r\n\r\n"), lambda net: net.wait(1_000_000)])
+def test_a_bad_or_missing_answer_keeps_the_list_and_is_asked_again_later(does):
+    net = Net(2)
+    before = listed(net)
+    does(net)
+    net.turn()
+    assert listed(net) == before and "list lost" in net.log.lines
+    times = len(net.dialled)
+    net.wait(45_000)
+    assert len(net.dialled) == times, "not at once"
+    net.wait(60_000)
+    assert len(net.dialled) == times + 1
+    net.refused.add(8500)
+    net.wait(20_000_000)
+    net.refused.clear()
+    while len(net.dialled) == times + 1:
+        net.wait(100_000)
+    tells(net, 9, True, [net.entry(5), net.entry(9)])
+    assert listed(net) == {"c5": "up", "o": "up"} and "list back" in net.log.lines
+
+
+def test_an_address_that_changes_is_dialled_from_then_on():
+    net = Net(1)
+    tells(net, 41, True, [net.entry(0), net.entry(9)])
+    [link] = idle_links(net, 1)
+    tells(net, 42, False, [net.entry(0, port=300)])
+    net.ask("again")
+    assert net.dialled[-1][0] == 300
+    heard(link)
+    assert heard(link) == ""
+
+
+def test_a_restart_is_told_in_milliseconds_of_unix_time():
+    net = Net(2)
+    tells(net, 41, True, [net.entry(0, born=net.now // 1000), net.entry(1), net.entry(9)])
+    assert net.node.balancer.hosts["c0"].warm_at == net.now + 10_000_000
+
+
+# --- start and log
+
+GOOD = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"seq": 1, "whole": True, "hosts": []},
+        "settings": {"kinds": ["cache", "origin"], "ceilings": {"conn-idle": 7, "peer-messages": True},
+                     "rule-sets": [{"name": "read", "effect": "retryable", "client-timeout": 900}]}}
+
+
+def test_start_reads_names_and_units(tmp_path):
+    (tmp_path / "c").write_bytes(orjson.dumps(GOOD))
+    station = start.read(str(tmp_path / "c"))
+    assert (station.listen, station.seed, station.idle_for, station.sockets) == (("127.0.0.1", 1), 255, 7, 1024)
+    assert station.terms.rule_sets["read"].replayable and not station.terms.peer_messages, "there are no words for them"
+
+
+@pytest.mark.parametrize(("change", "names"), [
+    ({"listen": "nowhere"}, "not an address: 'nowhere'"), ({"listen": None}, "c: "), ({"settings": {}}, "rule-sets.count"),
+    ({"seed": "xyz"}, "xyz"), ({"limits": {"sockets": 10}}, "too few"), ({"known": {"hosts": 1}}, "c: "),
+    ({"settings": {"rule-sets": [{"name": "a"}]}}, "rule-sets.0.client-timeout is missing")])
+def test_a_bad_start_is_one_plain_line(tmp_path, change, names):
+    (tmp_path / "c").write_bytes(orjson.dumps(GOOD | change))
+    with pytest.raises(start.BadStart, match=names) as told:
+        start.read(str(tmp_path / "c"))
+    assert "\n" not in str(told.value)
+
+
+@pytest.mark.parametrize("text", [None, "", "{", "[]", "7"])
+def test_a_configuration_that_is_none_ends_the_command_with_one_line(tmp_path, text):
+    path = tmp_path / "c"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "orchidgap", "serve", f"--config={path}"], capture_output=True)
+    assert done.returncode == 1 and done.stderr.startswith(b"orchidgap: ") and done.stderr.count(b"\n") == 1
+
+
+def test_a_log_that_nobody_reads_loses_lines_and_does_not_wait():
+    far, near = os.pipe()
+    log = Log("n", near)
+    for _ in range(3000):
+        log("mode", what="x" * 100)
+    assert log.dropped
+    os.read(far, 1 << 20)
+    log("later")
+    assert orjson.loads(os.read(far, 1 << 20).splitlines()[-1])["dropped"] and not log.dropped
+    log("long", what="x" * 10_000)
+    assert len(os.read(far, 1 << 20)) < 4_000
+    os.close(far)
+    log("none")
+    os.close(near)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -273,7 +273,7 @@
 
 
 def test_what_one_balancer_sees_reaches_the_other():
-    desks = two_that_talk()
+    desks, owner = two_that_talk(), ""
     for _ in range(12):  # the crowd at one cache is seen by the first balancer alone
         req = desks[0].put(1)
         owner = desks[0].sent(req)[0] if desks[0].sent(req) else owner
