An origin that answers 'miss' ends the req at once instead of making it await itself

Seen by reading what a 404 of the origin would do: Merging.back took it as a cache's miss and queued the req behind its own fetch, so it was held with nothing out until its response target, and its followers with it. Checked with the new test, which failed before. At fault: Merging.back not asking where the miss came from.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -87,7 +87,7 @@
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
-        if sent.verdict == "miss" and not (req.over or req.write):
+        if sent.verdict == "miss" and not (req.over or req.write or sent.host.is_origin):  # awaits itself
             req.missed = True
             return self.take(req)
         self.prev.back(req, sent)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,6 +82,17 @@
     assert desk.sent(follower) == [host, host] and desk.sent(late) == [host]
 
 
+def test_an_origin_that_lacks_the_key_ends_the_req():
+    desk = Desk()
+    lead, follower = desk.put(5), desk.put(5)
+    for req in (lead, follower):
+        desk.outcome(req, "miss")
+    desk.outcome(lead, "miss", 1)
+    assert desk.did("deny", lead) and desk.sent(follower)[-1] == "o"
+    desk.outcome(follower, "miss", 1)
+    assert desk.did("deny", follower) and not desk.merging.fetches
+
+
 def test_a_follower_fetches_where_the_leader_fails():
     desk = Desk()
     lead, follower = desk.put(5), desk.put(5)
