--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -59,6 +59,8 @@
         reader.feed(view)
         if self.asked:
             return  # sent before the answer: told when that is out
+        if reader.headed and not reader.whole and reader.fields.pop(b"expect", b""):
+            self.conn.send(http.CONTINUE)
         if reader.trouble:
             self.refuse(reader.trouble)
         elif reader.whole:
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -32,7 +32,7 @@
     ['unconnected', 'unconnected', 'reset']
     ['moot', 'moot', 'timeout']
     ['moot', 'moot', 'cancelled']
-    ['unconnected', 'unconnected', 'reset']
+    ['moot', 'moot', 'reset']
     """
 
     reach: Reach
@@ -43,7 +43,8 @@
     def verdict(self) -> str:
         if self.reach is Reach.WHOLE:
             return {"overdue": "timeout", "cancelled": "cancelled"}.get(self.cause, "reset")
-        return "moot" if self.cause in ("overdue", "cancelled") else "unconnected"
+        # what this balancer itself lacks says nothing against the host
+        return "unconnected" if self.cause == "broken" else "moot"
 
 
 Address = tuple[str, int]
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -9,6 +9,7 @@
 MOST_HEAD = 1 << 14
 MOST_BODY = 1 << 16
 PADDING = 8  # times a body's bytes that its framing may take
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
            413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
            503: "Service Unavailable"}
--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Callable
+from ipaddress import IPv4Address
 from random import Random
 from typing import Any
 
@@ -27,14 +28,18 @@
     """
     >>> address_of("127.0.0.1:80")
     ('127.0.0.1', 80)
-    >>> address_of("127.0.0.1")
+    >>> address_of("cache.internal:80")
     Traceback (most recent call last):
         ...
-    ValueError: not an address: '127.0.0.1'
+    ValueError: not an address: 'cache.internal:80'
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 1 << 16:
-        raise ValueError(f"not an address: {text!r}")
+    try:
+        IPv4Address(host)  # a name would be looked up, and the loop would wait for that
+        if not 0 < int(port) < 1 << 16:
+            raise ValueError
+    except ValueError:
+        raise ValueError(f"not an address: {text!r}") from None
     return host, int(port)
 
 
