--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import socket
 from typing import Protocol
 
@@ -46,7 +47,7 @@
         self.clients, self.reader = clients, http.ReqReader()
         self.asked: Asked | None = None
         self.patience: Timer | None = None
-        self.conn = Connection(clients.loop, sock, self)
+        self.conn = Connection(clients.loop, sock, self, stamped=True)
 
     def opened(self) -> None:
         pass
@@ -92,7 +93,7 @@
     def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
         reader, self.asked = self.reader, None
         last = not reader.extra and (self.clients.leaving or not reader.lasts)
-        self.conn.send(http.answer(status, body, last, pause))
+        self.conn.send(http.answer(status, len(body), last, pause), body)
         if reader.extra:
             self.refuse(400)  # it did not wait for its answer
         elif last:
@@ -157,9 +158,11 @@
             except BlockingIOError:
                 return
             except OSError as error:
-                if error.errno in SHORT:  # to try again at once would spin: the connection still waits
-                    return None if self.shed() or self.door.shed() else self.rest()
-                continue
+                if error.errno == errno.ECONNABORTED:  # gone before it was let in
+                    continue
+                # to try again at once would spin: the connection still waits
+                made_way = error.errno in SHORT and (self.shed() or self.door.shed())
+                return None if made_way else self.rest()
             self.let_in(sock, crowded)
 
     def let_in(self, sock: socket.socket, crowded: bool = False) -> None:
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -5,6 +5,10 @@
 import errno
 import os
 import socket
+import struct
+import time
+from collections.abc import Iterable
+from contextlib import suppress
 from enum import IntEnum
 from typing import NamedTuple, Protocol
 
@@ -13,6 +17,9 @@
 LINGER = 1_000_000    # for the other side to read our last words
 MOST_OUT = 1 << 18    # bytes waiting to be written
 UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
+SO_TIMESTAMPNS = 35   # Linux: the kernel tells when what is read came in
+STAMP = struct.Struct("qq")
+OLDEST = 60_000_000   # a stamp older than this tells of a clock that was set
 SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
 
@@ -67,6 +74,22 @@
     return Fault(Reach.UNSENT, "broken", os.strerror(number))
 
 
+def age(notes: Iterable[tuple[int, int, bytes]], now: int) -> int | None:
+    """How long ago (in microseconds) the kernel took in what was read, if it says so; now is in nanoseconds.
+
+    >>> age([(socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.pack(7, 1000))], 7_000_251_000)
+    250
+    >>> age([], 7), age([(socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.pack(7, 0))], 6_999_999_999)
+    (None, None)
+    """
+    for level, kind, note in notes:
+        if (level, kind, len(note)) == (socket.SOL_SOCKET, SO_TIMESTAMPNS, STAMP.size):
+            whole, part = STAMP.unpack(note)
+            micros = (now - whole * 1_000_000_000 - part) // 1000
+            return micros if 0 <= micros < OLDEST else None
+    return None
+
+
 class Owner(Protocol):
     def opened(self) -> None: ...
 
@@ -78,17 +101,24 @@
 
 
 class Connection:
-    __slots__ = ("closing", "linger", "loop", "mask", "opening", "out", "owner", "sock", "taken")
+    __slots__ = ("came", "closing", "linger", "loop", "mask", "opening", "out", "owner", "sock", "stamped",
+                 "taken")
 
-    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False) -> None:
+    def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False,
+                 stamped: bool = False) -> None:
         self.loop, self.sock, self.owner, self.opening = loop, sock, owner, opening
         self.out = bytearray()
         self.taken = 0        # bytes that the kernel has taken so far
         self.closing = False  # nothing more is sent, what still comes is dropped
         self.linger: Timer | None = None
+        self.stamped, self.came = False, 0  # when what was read last came in, as far as that is known
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if stamped:
+                with suppress(OSError):
+                    sock.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+                    self.stamped = True
         self.mask = WRITE if opening else READ
         loop.watch(sock, self.mask, self.ready)
 
@@ -117,7 +147,7 @@
 
     def read(self) -> None:
         try:
-            count = self.sock.recv_into(self.loop.buffer)
+            count = self.receive()
         except BlockingIOError:
             return
         except OSError as error:
@@ -127,13 +157,34 @@
         if not self.closing:
             self.owner.received(self.loop.buffer[:count])
 
+    def receive(self) -> int:
+        """Without a stamp, what is there now may have come at any time since the loop last looked."""
+        self.came = self.loop.since
+        if not self.stamped:
+            return self.sock.recv_into(self.loop.buffer)
+        count, notes, _, _ = self.sock.recvmsg_into([self.loop.buffer], socket.CMSG_SPACE(STAMP.size))
+        ago = age(notes, time.time_ns())
+        if ago is not None:
+            self.came = self.loop.clock() - ago
+        return count
+
     def send(self, *parts: bytes) -> None:
         """Write what the kernel takes now and keep the rest."""
-        self.out += b"".join(parts)
+        count = 0
+        if not self.out and not self.opening:
+            try:
+                count = self.sock.sendmsg(parts)
+            except BlockingIOError:
+                pass
+            except OSError as error:
+                return self.end(error.strerror or "broken")
+            self.taken += count
+        rest = sum(map(len, parts)) - count
+        if rest:
+            self.out += b"".join(parts)[-rest:]
+            self.rewatch()
         if len(self.out) > MOST_OUT:
-            return self.end("not read")
-        if not self.opening:
-            self.flush()
+            self.end("not read")
 
     def flush(self) -> None:
         try:
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -157,20 +157,21 @@
     return round(micros) if 0 <= micros <= 3.6e9 else None
 
 
-def answer(status: int, body: bytes = b"", last: bool = False, pause: int = 0) -> bytes:
-    """
+def answer(status: int, length: int = 0, last: bool = False, pause: int = 0) -> bytes:
+    """The head of an answer.
+
     >>> print(answer(503, pause=1_250_000, last=True).decode().replace("\\r", "").strip())
     HTTP/1.1 503 Service Unavailable
     Content-Length: 0
     Retry-After: 1.250
     Connection: close
     """
-    lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {len(body)}"]
+    lines = [f"HTTP/1.1 {status} {REASONS[status]}", f"Content-Length: {length}"]
     if pause:
         lines.append(f"Retry-After: {pause / 1e6:.3f}")
     if last:
         lines.append("Connection: close")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
 
 def onward(method: bytes, target: bytes, fields: dict[bytes, bytes], body: bytes) -> bytes:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -5,6 +5,7 @@
 import socket
 from collections.abc import Callable
 from functools import partial
+from hashlib import blake2b
 from typing import Any
 
 from orchidgap.net.clients import Client, Clients
@@ -20,9 +21,20 @@
 LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
 LAST_WORDS = 3_500_000
 TICK = 10_000
+LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 256        # what one client can make the balancer hold: a req, its answer, and both on their way
-BASE_MB = 64         # what the program needs without any
+BASE_MB = 24         # what the program needs without any, and twice what was measured
+
+
+def number_of(key: bytes) -> int | None:
+    """
+    >>> number_of(b""), number_of(b"a1"), number_of(b"x" * 33) < 1 << 128
+    (None, 24881, True)
+    """
+    if len(key) > LONG_KEY:  # the decisions write the number out, which Python refuses for very long ones
+        key = blake2b(key, digest_size=16).digest()
+    return int.from_bytes(key) if key else None
 
 
 class Exchange:
@@ -109,10 +121,10 @@
              head: bytes, body: bytes) -> None:
         self.count += 1
         # the client counts from its send, which a loop that was held up learns late
-        due = self.loop.since + left - min(GUARD, left // 4)
+        due = client.conn.came + left - min(GUARD, left // 4)
         exchange = client.asked = self.reqs[self.count] = Exchange(self, self.count, client, head, body, due)
         self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
-                  int.from_bytes(key) if key else None, tenant, exchange=exchange)
+                  number_of(key), tenant, exchange=exchange)
 
     def on_list(self, whole: bool, entries: list[Entry], found: list[tuple[str, str, Address]]) -> None:
         self.hosts.follow(whole, found)
--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -96,8 +96,7 @@
         self.conn.send(f"GET {path} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def opened(self) -> None:
-        if self.conn:
-            self.conn.flush()
+        pass
 
     def received(self, view: memoryview) -> None:
         self.reader.feed(view)
@@ -116,10 +115,13 @@
             if self.version is None and not whole:
                 raise ValueError("changes to a list that is not held")
         except (ValueError, TypeError, KeyError, AttributeError) as trouble:
+            if reader.status == 200:
+                self.version = None  # the same changes would be as bad when asked for again
             return self.ended(f"bad answer: {trouble!r}"[:120])
         if self.failures:
             self.log("list back", failures=self.failures)
-        self.failures, self.version = 0, version
+        behind = self.version is not None and version < self.version and not whole
+        self.failures, self.version = 0, None if behind else version  # it counts anew, so it has forgotten
         if not reader.lasts:
             self.drop()
         if whole or entries:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -44,6 +44,27 @@
     assert [port for port, _ in net.dialled] == [8500, 100, 109], "each was dialled once"
 
 
+def test_a_very_long_key_is_a_key():
+    net = Net(1)
+    client = net.ask("k" * 9_000)
+    assert "/read/" + "k" * 9_000 in heard(net.far())
+    net.answers(net.far())
+    assert heard(client).startswith("HTTP/1.1 200")
+
+
+def test_an_answer_that_the_client_reads_slowly_still_comes_whole():
+    net = Net(1)
+    client = net.ask("k")
+    for one in net.node.clients.open:
+        one.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    net.answers(net.far(), body="v" * 60_000)
+    parts = []
+    while part := heard(client):
+        parts.append(part)
+        net.turn(1)
+    assert len(parts) > 1 and "".join(parts).endswith("\r\n\r\n" + "v" * 60_000)
+
+
 @pytest.mark.parametrize(("does", "verdict"), [
     (lambda net, far: far.close(), "reset"),
     (lambda net, far: (far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), far.close()), "reset"),
@@ -396,7 +417,8 @@
     idle = net.ask("k")
     net.answers(net.far())
     near, far = socket.socketpair()
-    listener = net.node.clients.listener = Listener([OSError(errno.EMFILE, "")] * 3 + [near])
+    gone = OSError(errno.ECONNABORTED, "")
+    listener = net.node.clients.listener = Listener([gone] + [OSError(errno.EMFILE, "")] * 3 + [near])
     net.loop.watch(listener, READ, net.node.clients.accept)
     net.loop.turn(0)
     assert heard(idle).startswith("HTTP") and heard(idle) == "", "the idle client made way"
@@ -404,9 +426,9 @@
     assert net.node.hosts.count == 0, "then the idle link"
     net.loop.turn(0)
     net.turn(20)
-    assert listener.calls == 3, "with nothing to shed it waits"
+    assert listener.calls == 4, "with nothing to shed it waits"
     net.wait(51_000)
-    assert listener.calls > 3 and len(net.node.clients.open) == 1 and far.fileno() > 0
+    assert listener.calls > 4 and len(net.node.clients.open) == 1 and far.fileno() > 0
 
 
 def test_clients_beyond_the_most_are_told_so():
@@ -480,6 +502,16 @@
     assert listed(net) == {"c5": "up", "o": "up"} and "list back" in net.log.lines
 
 
+def test_a_change_that_cannot_be_read_or_a_version_that_falls_is_followed_by_the_whole_list():
+    for seq, hosts, wait in ((42, [{"host": "x"}], 100_000), (3, [], 100_000)):
+        net = Net(1)
+        tells(net, 41, True, [net.entry(0), net.entry(9)])
+        heard(watched(net))
+        tells(net, seq, False, hosts)
+        net.wait(wait)
+        assert heard(watched(net)).startswith(f"GET {LIST} HTTP/1.1") and listed(net) == {"c0": "up", "o": "up"}
+
+
 def test_an_address_that_changes_is_dialled_from_then_on():
     net = Net(1)
     tells(net, 41, True, [net.entry(0), net.entry(9)])
