A client that still reads its answer is not idle; one that never reads is let go

Read in review: an answered client counted as idle at once, so making way or stopping could cut an answer that it was still reading, which loses the req; and one that never read held its place for good. At fault: Clients.shed and Clients.shut closing whatever is idle, and no limit on unread bytes.

--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -176,8 +176,9 @@
     def shed(self) -> bool:
         """Close the connection that has been idle longest; whether there was one."""
         for client in self.idle:
-            client.close()
-            return True
+            if not client.conn.out:  # else its answer would be cut
+                client.close()
+                return True
         return False
 
     def rest(self) -> None:
@@ -208,4 +209,4 @@
         for client in list(self.idle):
             client.conn.ready(READ)  # a req that has come is still answered
             if client in self.idle:
-                client.close()
+                client.conn.finish() if client.conn.out else client.close()
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -14,7 +14,8 @@
 
 from orchidgap.net.loop import READ, WRITE, Loop, Timer
 
-LINGER = 1_000_000    # for the other side to read our last words
+LINGER = 1_000_000    # for the other side to close once it has our last words
+UNREAD = 10_000_000   # for the other side to read what is written
 MOST_OUT = 1 << 18    # bytes waiting to be written
 UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
 SO_TIMESTAMPNS = 35   # Linux: the kernel tells when what is read came in
@@ -101,8 +102,8 @@
 
 
 class Connection:
-    __slots__ = ("came", "closing", "linger", "loop", "mask", "opening", "out", "owner", "sock", "stamped",
-                 "taken")
+    __slots__ = ("came", "closing", "loop", "mask", "opening", "out", "owner", "sock", "stamped", "taken",
+                 "timer")
 
     def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False,
                  stamped: bool = False) -> None:
@@ -110,7 +111,7 @@
         self.out = bytearray()
         self.taken = 0        # bytes that the kernel has taken so far
         self.closing = False  # nothing more is sent, what still comes is dropped
-        self.linger: Timer | None = None
+        self.timer: Timer | None = None  # ends it unless the other side reads, or closes
         self.stamped, self.came = False, 0  # when what was read last came in, as far as that is known
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
@@ -182,6 +183,8 @@
         rest = sum(map(len, parts)) - count
         if rest:
             self.out += b"".join(parts)[-rest:]
+            if not self.timer:
+                self.end_in(UNREAD)
             self.rewatch()
         if len(self.out) > MOST_OUT:
             self.end("not read")
@@ -196,10 +199,21 @@
             pass
         except OSError as error:
             return self.end(error.strerror or "broken")
-        if self.closing and not self.out:
-            self.hush()
+        if not self.out:
+            self.rest()
+            if self.closing:
+                self.hush()
         self.rewatch()
 
+    def end_in(self, delay: int) -> None:
+        self.rest()
+        self.timer = self.loop.later(delay, self.end, "not read")
+
+    def rest(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+
     def rewatch(self) -> None:
         mask = READ | (WRITE if self.out else 0)
         if self.open and mask != self.mask:
@@ -218,15 +232,13 @@
 
     def finish(self) -> None:
         """Close once all is written and read: closing on unread bytes would reset our last words away."""
-        if not self.open:
-            return
-        self.closing = True
-        if not self.linger:
-            self.linger = self.loop.later(LINGER, self.end, "not read")
-        if not self.out:
-            self.hush()
+        if self.open and not self.closing:
+            self.closing = True
+            if not self.out:
+                self.hush()
 
     def hush(self) -> None:
+        self.end_in(LINGER)
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError as error:
@@ -239,7 +251,6 @@
 
     def close(self) -> None:
         if self.open:
-            if self.linger:
-                self.linger.cancel()
+            self.rest()
             self.loop.unwatch(self.sock)
             self.sock.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -58,11 +58,26 @@
     for one in net.node.clients.open:
         one.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     net.answers(net.far(), body="v" * 60_000)
+    assert not net.node.clients.shed(), "it is not idle before that was read"
+    net.node.leave()
+    net.wait(401_000)
     parts = []
     while part := heard(client):
         parts.append(part)
         net.turn(1)
-    assert len(parts) > 1 and "".join(parts).endswith("\r\n\r\n" + "v" * 60_000)
+    assert len(parts) > 1 and "".join(parts).endswith("\r\n\r\n" + "v" * 60_000) and part == ""
+
+
+def test_a_client_that_does_not_read_is_let_go():
+    net = Net(1)
+    net.ask("k")
+    for one in net.node.clients.open:
+        one.conn.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    net.answers(net.far(), body="v" * 60_000)
+    net.wait(9_900_000)
+    assert net.node.clients.open
+    net.wait(200_000)
+    assert not net.node.clients.open
 
 
 @pytest.mark.parametrize(("does", "verdict"), [
