--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -165,10 +165,6 @@
             if link.trip is None or link.conn.opening:
                 link.ended("host drains")
 
-    def close_idle(self) -> None:
-        for link in list(self.idle):
-            link.close()
-
 
 class Hosts:
     """All pools, by the id of their host; `most` connections together."""
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -60,10 +60,8 @@
 
     def hangup(self) -> None:
         if not self.over:
-            self.over = True
-            self.timer.cancel()
+            self.close()
             self.node.decide(self.node.balancer.on_hangup, self.id)
-            self.node.tidy(self)
 
     def overdue(self) -> None:
         """Its time is up: what is out has timed out, and the answer goes out now whatever comes of that."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -404,7 +404,8 @@
     idle, short = net.node.hosts.count, [Fault(Reach.UNSENT, "short", "none left")]
     net.node.hosts.dialer = lambda address: short.pop() if short else net.dial(address)
     pool = net.node.hosts.pools["c0"]
-    pool.close_idle()
+    while pool.idle:
+        pool.idle[0].close()
     left, dialled = net.node.hosts.count, len(net.dialled)
     pool.dial(Trip(b"GET / HTTP/1.1\r\n", b"", net.now + 10 ** 6, lambda verdict, body: None))
     assert 0 < left < idle and net.node.hosts.count == left and not short, idle_links_of_both
