An odd entry in the list costs its host and not the whole list

Read in review: one entry in an unknown state or with a name for an address made the whole list a bad answer, for as long as it stood there, so the balancer would have stayed on an old list. At fault: decoded() raising for it. Such a host is now taken as draining.

--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -46,16 +46,27 @@
 def decoded(told: Any) -> tuple[int, bool, list[Entry], list[tuple[str, str, Address]]]:
     """The version, whether the list is whole, its entries, and where each host is found.
 
+    One odd entry must not keep the balancer on an old list: a host in a state that has no name here, or at no
+    address, wants nothing new.
+
     >>> decoded({"seq": 4, "whole": False, "hosts": [{"host": "s", "dial": "127.0.0.2:7", "site": "a",
     ...     "class": "m", "block": 3, "health": "Ready", "share": 1, "born_ms": 5}]})
     (4, False, [('s', 'up', 5000, 'a', 'm', '3', 1.0)], [('s', 'up', ('127.0.0.2', 7))])
+    >>> decoded({"seq": 4, "whole": True, "hosts": [{"host": "s", "dial": "", "health": "Ready"}]})[3]
+    [('s', 'draining', ('', 0))]
     """
     entries, found = [], []
     for host in told["hosts"]:
-        state = STATES[host["health"]]
-        entries.append((str(host["host"]), state, int(host.get("born_ms") or 0) * 1000, str(host.get("site")),
-                        str(host.get("class")), str(host.get("block")), float(host.get("share", 1.0))))
-        found.append((str(host["host"]), state, address_of(host["dial"]) if state != "gone" else ("", 0)))
+        id, state, address = str(host["host"]), STATES.get(host["health"], "draining"), ("", 0)
+        if state != "gone":
+            try:
+                address = address_of(host["dial"])
+            except ValueError:
+                state = "draining"
+        share, born = host.get("share"), host.get("born_ms")
+        entries.append((id, state, int(born or 0) * 1000, str(host.get("site")), str(host.get("class")),
+                        str(host.get("block")), 1.0 if share is None else float(share)))
+        found.append((id, state, address))
     return int(told["seq"]), bool(told["whole"]), entries, found
 
 
