Tests fail where they would have waited for ever

With the deadline's clock, the registry's time-out, the loop's last look or the log's poll taken out, the tests hung instead of failing.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -148,14 +148,12 @@
 
 def test_time_that_the_loop_was_held_up_is_taken_off():
     net = Net()
-    near, client = socket.socketpair()
-    net.node.clients.let_in(near)
-    net.turn()
+    client = net.client()
     client.sendall(b"GET /read/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 0.5\r\n\r\n")
     net.now += 300_000  # the req may have come at the start of this
     net.turn()
     net.wait(181_000)
-    assert client.recv(99).startswith(b"HTTP/1.1 503")
+    assert (heard(client) or "").startswith("HTTP/1.1 503")
 
 
 def test_a_fault_in_the_decisions_still_brings_an_answer():
@@ -519,8 +517,9 @@
     net.refused.add(8500)
     net.wait(20_000_000)
     net.refused.clear()
-    while len(net.dialled) == times + 1:
-        net.wait(100_000)
+    for _ in range(30):
+        if len(net.dialled) == times + 1:
+            net.wait(100_000)
     tells(net, 9, True, [net.entry(5), net.entry(9)])
     assert listed(net) == {"c5": "up", "o": "up"} and "list back" in net.log.lines
 
