Re-read of the change: no timer for reqs that come whole, one place that readies a reader

Client.received set a timer of ten seconds for each req and cancelled it in the same call where the req came whole, as nearly all do; it is now set only for one that has not.

--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -56,7 +56,6 @@
         reader = self.reader
         if not reader.begun:
             self.clients.idle.pop(self, None)
-            self.patience = self.clients.loop.later(PATIENCE, self.refuse, 408)
         reader.feed(view)
         if self.asked:
             return  # sent before the answer: told when that is out
@@ -67,6 +66,8 @@
         elif reader.whole:
             self.rest_patience()
             self.take()
+        elif not self.patience:  # most reqs come whole at once and need no timer
+            self.patience = self.clients.loop.later(PATIENCE, self.refuse, 408)
 
     def take(self) -> None:
         reader, door, fields = self.reader, self.clients.door, self.reader.fields
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -92,7 +92,7 @@
         trip, self.trip = self.trip, None
         fault = Fault(self.reach(), "broken", what)
         self.close()
-        if trip and not trip.settled:
+        if trip:
             # not at once: this may be the decision's own call to send
             self.pool.hosts.loop.soon(trip.settle, fault.verdict)
 
@@ -183,17 +183,17 @@
         for id, state, address in told:
             gone.discard(id)
             pool = self.pools.get(id)
-            if state == "gone" or (pool and pool.address != address):
-                if pool:
-                    pool.retire()
-                    del self.pools[id]
+            if pool and (state == "gone" or pool.address != address):
+                self.pools.pop(id).retire()
                 pool = None
-            if state != "gone":
-                pool = pool or self.pools.setdefault(id, Pool(self, address))
-                if state == "up":
-                    pool.retired = False
-                else:
-                    pool.retire()
+            if state == "gone":
+                continue
+            if pool is None:
+                pool = self.pools[id] = Pool(self, address)
+            if state == "up":
+                pool.retired = False
+            else:
+                pool.retire()
         for id in sorted(gone):
             self.pools.pop(id).retire()
 
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -22,19 +22,17 @@
 
     def __init__(self, most: int = MOST_BODY) -> None:
         self.most = most  # bytes of a body
-        self.begun = self.whole = self.headed = self.extra = self.lasts = False
-        self.size = self.raw = self.status = 0
-        self.target = b""
-        self.fields: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.status = 0
         self.trouble = 0  # the status that tells what is wrong with the message
+        self.reset()
 
     def reset(self) -> None:
         """Make room for the next message."""
         self.begun = self.whole = self.headed = self.extra = self.lasts = False
         self.size = self.raw = 0
         self.target = b""
-        self.fields, self.body = {}, []
+        self.fields: dict[bytes, bytes] = {}
+        self.body: list[bytes] = []
 
     def feed(self, view: memoryview) -> None:
         if self.whole:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -24,7 +24,7 @@
 LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 256        # what one client can make the balancer hold: a req, its answer, and both on their way
-BASE_MB = 24         # what the program needs without any, and twice what was measured
+BASE_MB = 24         # what the program itself needs, with room to spare
 
 
 def number_of(key: bytes) -> int | None:
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -1,4 +1,5 @@
-"""What is read at start, decoded once. Setting names of the wire stay in this file."""
+"""What is read at start, decoded once. Setting names of the wire stay in this file, but for those that only
+sockets need (`net/start.py`)."""
 
 from __future__ import annotations
 
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -147,9 +147,12 @@
         return self.client(f"{method} /{rule_set}/{key}?q=1 HTTP/1.1\r\nHost: s\r\nRequest-Id: r-{key}\r\n{more}"
                            f"Tenant: small\r\nRequest-Timeout: {left}\r\n\r\n{body}".encode())
 
+    def fars(self):
+        """The hosts' ends of all links, in the order they were dialled."""
+        return [far for port, far in self.dialled if port != 8500]
+
     def far(self, number=-1):
-        """The host's end of a link, in the order they were dialled."""
-        return [far for port, far in self.dialled if port != 8500][number]
+        return self.fars()[number]
 
     def says(self, far, text):
         far.sendall(text.encode() if isinstance(text, str) else text)
@@ -157,7 +160,7 @@
 
     def serve(self):
         """Every host answers what it was asked."""
-        for far in [far for port, far in self.dialled if port != 8500]:
+        for far in self.fars():
             if heard(far):
                 self.answers(far)
 
