SIGHUP has the configuration read anew and moves the watch, in place of ending the program

Cause: serve.py installed handlers for SIGTERM and SIGINT alone, so SIGHUP kept its default; and the ear of the wake-up pair read the bytes away and called leave() whatever number they held (on_stop, heard), so a handler alone would have made a reload a planned end.

Now the byte tells the signal. The file is read anew, the registry drops its connection, forgets the version (another agent counts for itself) and asks the new address for the whole list; list, pools and reqs stay. A file that cannot be used keeps the old terms with one line. What else is new in the file counts from the next start, and the line names it.

--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -7,7 +7,7 @@
   orchidgap (-h | --help)
 
 Commands:
-  serve    Serve until told to stop (SIGTERM or SIGINT).
+  serve    Serve until told to stop (SIGTERM or SIGINT); SIGHUP has the configuration read anew.
   check    Read the configuration as serve would, say what it holds, and end.
   version  Print the version.
 
@@ -32,9 +32,10 @@
     if told["version"]:
         return print(f"orchidgap {VERSION}")
     try:
-        station = start.read(told["--config"] or os.environ.get("GW_CONFIG"))
+        path = told["--config"] or os.environ.get("GW_CONFIG")
         if told["serve"]:
-            return serve(station)
+            return serve(path)
+        station = start.read(path)
     except start.BadStart as trouble:
         sys.exit(f"orchidgap: {trouble}")
     print(f"balancer {station.name} on {station.listen[0]}:{station.listen[1]}, list from "
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -182,7 +182,14 @@
     def log(self, line: str) -> None:
         self.note("mode", what=line)
 
-    # --- the end
+    # --- new terms and the end
+
+    def move(self, station: Station) -> None:
+        """The watch goes where the new terms say; what else is new in them counts from the next start."""
+        later = [name for name, old, new in zip(Station._fields, self.station, station)
+                 if old != new and name not in ("discovery", "known", "seed")]
+        self.note("terms read", discovery=station.discovery, **({"at_next_start": later} if later else {}))
+        self.registry.move(station.discovery)
 
     def leave(self) -> None:
         if not self.clients.leaving:
--- a/orchidgap/net/registry.py
+++ b/orchidgap/net/registry.py
@@ -106,6 +106,13 @@
         self.set_timer(wait + GRACE, self.ended, "silence")
         self.conn.send(f"GET {path} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
+    def move(self, address: Address) -> None:
+        """The list held still applies; versions told elsewhere say nothing at the new address."""
+        if address != self.address:
+            self.drop()
+            self.address, self.version, self.failures = address, None, 0
+            self.ask()
+
     def opened(self) -> None:
         pass
 
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -1,4 +1,4 @@
-"""The running program: the loop, the node, and the signals that end them."""
+"""The running program: the loop, the node, and the signals that end them or have the terms read anew."""
 
 from __future__ import annotations
 
@@ -7,19 +7,20 @@
 import socket
 import time
 
+from orchidgap.net import start
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.node import Node
-from orchidgap.net.start import BadStart, Station
 
 BIND_FOR = 10.0  # seconds: a forerunner that was killed may still hold the address
 
 
-def serve(station: Station) -> None:
+def serve(path: str | None) -> None:
+    station = start.read(path)
     log = Log(station.name)
     loop = Loop(trouble=log.trouble)
     node = Node(loop, station, log)
-    bell = on_stop(loop, node)
+    bell = on_signal(loop, node, path)
     until = time.monotonic() + BIND_FOR
     while True:
         try:
@@ -27,7 +28,7 @@
             break
         except OSError as trouble:
             if trouble.errno != errno.EADDRINUSE or time.monotonic() > until:
-                raise BadStart(f"cannot listen on {station.listen}: {trouble.strerror}") from None
+                raise start.BadStart(f"cannot listen on {station.listen}: {trouble.strerror}") from None
             time.sleep(0.05)
     node.start()
     log("serving", listen=station.listen, hosts=len(node.hosts.pools), clients=node.clients.most,
@@ -36,18 +37,29 @@
     bell.close()
 
 
-def on_stop(loop: Loop, node: Node) -> socket.socket:
+def on_signal(loop: Loop, node: Node, path: str | None) -> socket.socket:
     """A signal wakes the loop, which then calls the node, as long as the socket returned is kept."""
     bell, ear = socket.socketpair()
     for end in (bell, ear):
         end.setblocking(False)
 
     def heard(mask: int) -> None:
-        ear.recv(64)
-        node.leave()
+        told = ear.recv(64)  # the number of each signal, in the order they came
+        if signal.SIGHUP in told:
+            read_anew(node, path)
+        if signal.SIGTERM in told or signal.SIGINT in told:
+            node.leave()
 
     loop.watch(ear, READ, heard)
     signal.set_wakeup_fd(bell.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: None)
     return bell
+
+
+def read_anew(node: Node, path: str | None) -> None:
+    """A file that cannot be used, or is only half there, must not cost what is known."""
+    try:
+        node.move(start.read(path))
+    except start.BadStart as trouble:
+        node.note("terms kept", why=str(trouble))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,7 @@
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ
 from orchidgap.net.registry import decoded
-from orchidgap.net.serve import on_stop
+from orchidgap.net.serve import on_signal
 
 LIST = "/discovery/hosts"
 
@@ -277,21 +277,56 @@
     """The ringing end of the pair was once not kept, and its end read as a signal."""
     net, told = Net(), []
     net.node.leave = lambda: told.append(1)
-    kept = signal.getsignal(signal.SIGTERM), signal.getsignal(signal.SIGINT)
-    bell = on_stop(net.loop, net.node)
-    try:
+    with signals(net, None):
         net.turn()
         assert not told
         signal.raise_signal(signal.SIGTERM)
         net.turn()
         assert told
+
+
+@contextlib.contextmanager
+def signals(net, path):
+    kept = {number: signal.getsignal(number) for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM)}
+    bell = on_signal(net.loop, net.node, path)
+    try:
+        yield
     finally:
         signal.set_wakeup_fd(-1)
-        signal.signal(signal.SIGTERM, kept[0])
-        signal.signal(signal.SIGINT, kept[1])
+        for number, handler in kept.items():
+            signal.signal(number, handler)
         bell.close()
 
 
+def test_sighup_moves_the_watch_and_keeps_the_list_and_a_bad_file_changes_nothing(tmp_path):
+    net, path = Net(1), tmp_path / "c"
+    tells(net, 41, True, [net.entry(0), net.entry(9)])
+    [link], before = idle_links(net, 1), listed(net)
+    with signals(net, str(path)):
+        for round, text in enumerate((None, "{", orjson.dumps(GOOD | {"discovery": "127.0.0.1:8501"}).decode(),
+                                      orjson.dumps(GOOD | {"discovery": "127.0.0.1:8502"}).decode())):
+            if text:
+                path.write_text(text)
+            net.refused.add(8502)
+            signal.raise_signal(signal.SIGHUP)
+            net.turn()
+            assert net.log.lines[-1] == "terms kept" if round < 2 else "terms read" in net.log.lines
+            assert net.loop.running and listed(net) == before and net.node.hosts.pools["c0"].idle
+            assert [port for port, _ in net.dialled if port > 8000] == [8500, 8501][:max(1, round)]
+            if round == 2:  # the versions of another agent mean nothing here
+                assert heard(net.far()).startswith(f"GET {LIST} HTTP/1.1")
+                net.answers(net.far(), body=orjson.dumps({"seq": 3, "whole": True, "hosts": [
+                    net.entry(0), net.entry(9)]}).decode())
+                assert heard(net.far()).startswith(f"GET {LIST}?after=3&")
+            elif round == 3:
+                net.refused.clear()
+                net.node.leave()
+                net.wait(110_000)
+                assert net.dialled[-1][0] == 8502, "asked again soon, also while it ends"
+    heard(link)
+    assert heard(link) is None, "pools are as they were"
+
+
 # --- pools
 
 def idle_links(net, many):
