A spoilt answer costs a host a credit; it rests and its limit falls once that is used up

Checked by counting the final answers by the line that gave them: 448 of 513 denies of one balancer came from Placement.take, 'nothing is out that would make room'; few from the origin's queue or from overload. So caches, not the origin, and not the door: silent connections held no usual client up (0 sent again, 0 not taken). Cause: Dispatch.back treated each error or reset as a crowded host: the limit was cut to 0.7 of what was out plus one (so to 1) and the host rested half a second. With 2% of all answers spoilt at every host all limits stayed at the floor, owners rested in turn and their keys went to neighbours that lacked them.

A host whose failures pass a sixth of its answers, or all of whose links break, has none left: then it rests and is cut as before. Full and unconnected are as they were.

--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -275,10 +275,13 @@
         if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
             self.heard(host, now - sent.at)
         elif verdict in FELL:
-            self.cut(host, 0.7)  # a crowded host makes no connections in time either
+            spoilt = verdict in ("error", "reset")
+            host.credit = max(0.0, host.credit - spoilt)
             desk.pool.count(host, verdict == "full")
-            host.shun_until = now + (BREATHER if verdict == "full" or host.is_origin else TICK)
-            desk.later(host.shun_until - now, desk.pump)  # or what is held waits too long
+            if not spoilt or host.credit < 1.0:  # a spoilt answer among many says nothing of the host
+                self.cut(host, 0.7)  # a crowded host makes no connections in time either
+                host.shun_until = now + (BREATHER if verdict == "full" or host.is_origin else TICK)
+                desk.later(host.shun_until - now, desk.pump)  # or what is held waits too long
         self.prev.back(req, sent)
 
     def heard(self, host: Host, took: int) -> None:
@@ -293,9 +296,8 @@
 
     def judge(self, host: Host, took: int, weight: int = 2) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
-        if not host.lag or self.desk.now - host.judged_at >= REDRAW_GAP:  # an old lag says nothing
-            host.lag = took
-        host.lag, host.judged_at = host.lag + (took - host.lag) * weight // 16, self.desk.now
+        lag = (self.desk.now - host.judged_at < REDRAW_GAP and host.lag) or took  # an old lag says nothing
+        host.lag, host.judged_at = lag + (took - lag) * weight // 16, self.desk.now
         if (slow := self.slowness(host)) > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
@@ -397,12 +399,10 @@
             (gone.add if state == "gone" else gone.discard)(id)
             if state == "gone":
                 continue
-            if id not in self.hosts:
-                self.hosts[id] = Host(id, kind == self.terms.origin_kind, code_of(id))
-            host = self.hosts[id]
+            host = self.hosts.get(id) or Host(id, kind == self.terms.origin_kind, code_of(id))
+            self.hosts[id] = host
             if since != host.since:
-                host.since = since
-                self.restart(host)
+                self.restart(host, since)
             host.state, host.zone, host.cell, host.rating = state, zone, cell, rating
         self.hosts = {id: host for id, host in sorted(self.hosts.items()) if id not in gone}
         ready = [host for host in self.hosts.values() if host.state == "up"]
@@ -411,12 +411,12 @@
         self.pool.hosts = {host.code: host for host in ready} | {ALL: self.placement.fleet}
         self.pump()
 
-    def restart(self, host: Host) -> None:
+    def restart(self, host: Host, since: int) -> None:
         """A process that has just started owes nothing to its forerunner."""
         host.sends = host.lag = host.cut_at = host.shun_until = 0
         host.limit, host.credit, host.rate = min(8.0, max(2.0, FIRST_LIMIT / self.terms.instances)), 2.0, -1.0
         host.floor = (1 + host.is_origin) * min(1.0, 4 / self.terms.instances)
-        host.counted, host.seen = self.now, self.placement.placed
+        host.since, host.counted, host.seen = since, self.now, self.placement.placed
         host.warm_at = host.since + self.terms.warm_after if host.since and not host.is_origin else 0
 
     def tick(self, _: None) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -115,6 +115,23 @@
     assert (not final) or desk.did(final, req)
 
 
+@pytest.mark.parametrize("verdict", ["error", "reset"])
+def test_a_spoilt_answer_among_many_costs_a_host_neither_its_limit_nor_its_range(verdict):
+    desk = Desk()
+    owner = desk.owner(1)
+    for _ in range(40):
+        assert desk.owner(1) == owner
+    host = desk.hosts[owner]
+    before = host.limit, host.credit
+    desk.outcome(desk.put(1), verdict, over=True)
+    assert (host.limit, host.credit) == (before[0], before[1] - 1.0) and desk.owner(1) == owner
+    for _ in range(10):  # all fail: it rests, and is asked again later
+        desk.outcome(desk.put(1), verdict, over=True)
+    assert desk.owner(1) != owner and host.limit < before[0]
+    desk.wait(600_000)
+    assert desk.owner(1) == owner
+
+
 def test_a_uniqued_req_is_not_repeated_past_its_window():
     desk = Desk()
     req = desk.put(3, "mark")
