A dispatch that a quick host has lost is sent to it once more and does not count as slow

Checked: the denies are reqs whose one dispatch timed out; the hosts concerned answered all others at their usual 20 to 40 ms. So no host was silent, links were. Each such time-out also counted as a very slow answer (Dispatch.back, Dispatch.late), cut the host's limit and sent its keys to neighbours that lack them. Cause: nothing in the module told a lost dispatch from a slow host; no copy went out while a first one was. Now a dispatch whose host has answered others since, and whose host's lag is under a third of the time it has been out, is lost: it says nothing of the host, and one more goes there for a credit where the settings and the rule set allow two at once.

--- a/orchidgap/chain.py
+++ b/orchidgap/chain.py
@@ -39,6 +39,10 @@
             if host is not None:
                 self.next.take(req, host)
 
+    def keep(self, req: Req, first: bool = False) -> None:
+        (self.held.appendleft if first else self.held.append)(req)
+        self.desk.hold(req)
+
     def oldest_wait(self) -> int:
         return self.desk.now - next((req.born for req in self.held if not req.over), self.desk.now)
 
@@ -94,7 +98,9 @@
         self.hosts: dict[str, Host] = {}
 
     def end(self, req: Req) -> None:
-        raise NotImplementedError
+        req.over = True
+        if not req.out:
+            self.reqs.pop(req.id, None)
 
     def on_outcome(self, id: int, number: int, verdict: str, over: bool) -> None:
         req = self.reqs.get(id)
--- a/orchidgap/records.py
+++ b/orchidgap/records.py
@@ -27,6 +27,7 @@
     floor: float = 1.0     # below which the limit does not fall
     cut_at: int = 0        # when the limit was last lowered
     judged_at: int = 0     # when an answer last counted for its lag
+    heard_at: int = 0      # when it last answered at all
     sends: int = 0         # since the last redraw, a refusal for being full counted twice
     counted: int = 0       # since when they are counted
     rate: float = -1.0     # reqs a second by its last report, negative where unheard
@@ -41,6 +42,7 @@
 class Sent:
     """One dispatch of a req."""
 
+    req: Req
     host: Host
     at: int
     verdict: str = ""
@@ -60,6 +62,7 @@
     out: int = 0
     over: bool = False     # it has its final answer
     missed: bool = False   # a cache lacked the key, so it needs a fetch
+    waits: bool = False    # held by a stage
 
     def suspects(self) -> list[Sent]:
         """Dispatches that may have run or may yet run."""
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -51,7 +51,8 @@
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
-        self.desk.give_up(req)
+        if not req.waits:  # while another of its dispatches failed
+            self.desk.give_up(req)
 
     def tick(self) -> None:
         desk, worst, self.worst = self.desk, self.worst, 0
@@ -64,8 +65,7 @@
                           f"caches, origin {held}, lags of all caches, origin {lags} ms, shed {shed:.2f}")
         total = sum(self.let_in.values())
         for name, count in self.let_in.items():
-            # counted is what was let in: those who are shed ask again and would look the greedier for it
-            over = count / total / desk.terms.tenants[name].share - 1.15 if total else 0.0
+            over = count / total / desk.terms.tenants[name].share - 1.15 if total else 0.0  # of those let in
             self.shed[name] = max(0.0, min(0.9, self.shed[name] + (over / 4 if self.pressed else -0.02)))
             self.let_in[name] *= 0.8
 
@@ -87,7 +87,7 @@
         self.next.take(req)
 
     def back(self, req: Req, sent: Sent) -> None:
-        if sent.verdict == "miss" and not (req.over or req.write or sent.host.is_origin):  # awaits itself
+        if sent.verdict == "miss" and not (req.over or req.write or req.missed or sent.host.is_origin):
             req.missed = True
             return self.take(req)
         self.prev.back(req, sent)
@@ -120,8 +120,7 @@
             return self.next.take(req, host)
         if not self.ring or not self.ring[bisect_right(self.cuts, req.slot)].out:
             return self.desk.finish(req)  # nothing is out that would make room
-        self.held.append(req)
-        self.desk.hold(req)
+        self.keep(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
@@ -206,8 +205,7 @@
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
-        # a joiner has had less time to be asked: what counts is the sends in the time it was there
-        counts = {host: host.rate if told else host.sends / (now - host.counted)
+        counts = {host: host.rate if told else host.sends / (now - host.counted)  # a joiner had less time
                   for host in warm if not told or host.rate >= 0}
         mean = sum(counts.values()) / len(counts) if counts else 0.0
         loads = [counts.get(host, mean) for host in ring]
@@ -223,15 +221,13 @@
     """Writes and misses go to the origin within a limit that follows how it answers."""
 
     def take(self, req: Req, host: Host | None = None) -> None:
-        host = host or self.choose(req)
-        if host is not None:
+        if host := host or self.choose(req):
             return self.next.take(req, host)
         last = min(req.due, req.born + req.rule_set.response_target)
         slots, lag = sum(host.limit for host in self.hosts), max((host.lag for host in self.hosts), default=0)
         if slots < 1 or self.desk.now + lag * (1 + (not req.write) * len(self.held) / slots) > last:
             return self.desk.finish(req)  # a quick deny where waiting would end in one
-        self.held.appendleft(req) if req.write else self.held.append(req)
-        self.desk.hold(req)
+        self.keep(req, first=req.write)
 
     def choose(self, req: Req) -> Host | None:
         ready = [host for host in self.hosts if self.desk.now >= host.shun_until and self.desk.fits(host)]
@@ -252,26 +248,36 @@
         desk = self.desk
         if host is None or len(req.sent) >= desk.terms.max_dispatches:
             return desk.give_up(req)
-        sent = Sent(host, desk.now)
+        sent = Sent(req, host, desk.now)
         req.sent.append(sent)
-        req.out, host.out = req.out + 1, host.out + 1
+        req.out, host.out, req.waits = req.out + 1, host.out + 1, False
         desk.pool.count(host, 1)
         if not host.is_origin:
             desk.placement.placed += 1
             desk.pool.count(desk.placement.fleet, 1)
-            desk.later(desk.target * 6 // 10, self.late, sent)
+        desk.later(max(desk.target * 6 // 10, 4 * host.lag * host.is_origin), self.late, sent)
         desk.port.dispatch(req.id, host.id)
 
     def late(self, sent: Sent) -> None:
         """A dispatch that is still out counts as a slow answer: its time-out would tell a second too late."""
-        if not sent.verdict:
-            self.heard(sent.host, self.desk.now - sent.at)
+        desk, req, host = self.desk, sent.req, sent.host
+        if self.lost(sent) and not sent.verdict:
+            listed = host in desk.placement.ring or host in desk.origin.hosts  # still
+            if listed and host.credit >= 1.0 and desk.placement.room(host) and desk.may_repeat(req, host):
+                host.credit -= 1.0
+                self.take(req, host)
+        elif not sent.verdict and not host.is_origin:
+            self.heard(host, desk.now - sent.at)
+
+    def lost(self, sent: Sent) -> bool:
+        """Whether its host is quick and has answered others since: then silence says nothing of the host."""
+        return sent.host.heard_at > sent.at and 3 * sent.host.lag < self.desk.now - sent.at
 
     def back(self, req: Req, sent: Sent) -> None:
         desk, host, now, verdict = self.desk, sent.host, self.desk.now, sent.verdict
         if verdict in ("done", "miss"):
-            host.shun_until, host.credit = 0, min(10.0, host.credit + 0.2)
-        if verdict in ("done", "timeout"):  # a miss is told at once, however crowded the host
+            host.shun_until, host.credit, host.heard_at = 0, min(10.0, host.credit + 0.2), now
+        if verdict == "done" or verdict == "timeout" and not self.lost(sent):  # a miss is told at once
             self.heard(host, now - sent.at)
         elif verdict in FELL:
             spoilt = verdict in ("error", "reset")
@@ -332,19 +338,16 @@
         self.note(host.code, sends)
 
     def tick(self) -> None:
-        if not self.on:
-            return
         desk, me = self.desk, self.desk.terms.slot_no
         turn, place = desk.now // POOL_GAP % desk.terms.instances, desk.placement
         place.total = max(1.0, place.total * 0.8)
         place.heat = {slot: heat * 0.8 for slot, heat in place.heat.items() if heat > 1.0}
         if self.sums.rows and turn != me:
-            # the price is tied to the traffic, a message a req at most: first what is hot, then what is slow
             asked, self.sums, sums = self.sums.asked(ALL), Tally(), self.sums.rows
             often = max(2, asked // 2 // max(1, len(place.ring)))
             told = sorted((item for item in sums.items() if item[0] < SLOTS or item[1][0] >= often),
                           key=lambda item: (item[0] in self.hosts and item[0] != ALL, -item[1][2], item[0]))
-            most = max(1, 256 * asked // ROW.size // desk.terms.instances)
+            most = max(1, 256 * asked // ROW.size // desk.terms.instances)  # a message a req: the price
             for text in texts(told[:most], SUMS, self.unit):
                 desk.port.tell(None, text)
                 self.hear(text)
@@ -422,7 +425,7 @@
     def tick(self, _: None) -> None:
         self.admission.tick()
         self.placement.tick()
-        if self.now // TICK % 2:
+        if self.pool.on and self.now // TICK % 2:
             self.pool.tick()
         self.pump()
         self.later(TICK, self.tick)
@@ -437,7 +440,7 @@
 
     def hold(self, req: Req) -> None:
         """It waits with nothing out, at most until its response target."""
-        last = min(req.born + req.rule_set.response_target, req.due - EARLY)
+        req.waits, last = True, min(req.born + req.rule_set.response_target, req.due - EARLY)
         self.later(last - self.now, self.give_up, req)
 
     def fits(self, host: Host) -> bool:
@@ -457,9 +460,9 @@
     def may_repeat(self, req: Req, host: Host) -> bool:
         """Whether the rule set allows one more dispatch to this host."""
         rule_set, doubtful = req.rule_set, [] if req.rule_set.replayable else req.suspects()
-        if len(req.sent) >= self.terms.max_dispatches or not doubtful:
-            return len(req.sent) < self.terms.max_dispatches
-        if not rule_set.uniqued or self.now - doubtful[0].at >= rule_set.repeat_window:
+        if req.over or len(req.sent) >= self.terms.max_dispatches or req.out and not self.terms.may_double:
+            return False
+        if doubtful and not (rule_set.uniqued and self.now - doubtful[0].at < rule_set.repeat_window):
             return False  # it may have run, and nobody would drop the repeat
         return rule_set.group == "all" or all(
             getattr(sent.host, rule_set.group) == getattr(host, rule_set.group) for sent in doubtful)
@@ -476,10 +479,8 @@
     def end(self, req: Req) -> None:
         if req.over:
             return
-        req.over = True
+        super().end(req)
         for number, sent in enumerate(req.sent):
             if not sent.verdict and self.terms.may_cancel:
                 self.port.cancel(req.id, number)
-        if not req.out:
-            self.reqs.pop(req.id, None)
         self.merging.release(req, any(sent.verdict == "done" for sent in req.sent))
--- a/orchidgap/terms.py
+++ b/orchidgap/terms.py
@@ -46,6 +46,7 @@
     ask_within: int
     max_dispatches: int
     may_cancel: bool
+    may_double: bool  # two dispatches of one req may be out
     max_pause: int  # 0 where clients are told no comeback time
     cold_from: float
     warm_after: int
@@ -84,6 +85,6 @@
             yes("ceilings.peer-messages"), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
             int(number("ceilings.most-dispatches", 3)),
-            yes("ceilings.may-cancel"),
+            yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
             number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -148,6 +148,57 @@
     assert desk.hosts[owner].limit == pytest.approx(limit, abs=0.2)
 
 
+@pytest.mark.parametrize(("rule_set", "allowed", "answers", "again"), [
+    ("read", "true", True, True), ("read", "true", False, False), ("read", "false", True, False),
+    ("mark", "true", True, True), ("once", "true", True, False)])
+def test_a_dispatch_that_a_quick_host_has_lost_is_sent_again_and_says_nothing_of_the_host(
+        rule_set, allowed, answers, again):
+    desk = Desk(**{"ceilings.may-duplicate": allowed})
+    for key in (1, 2):
+        desk.outcome(desk.put(key, rule_set), "done")
+    lost = desk.put(1, rule_set)
+    [host] = desk.sent(lost)
+    desk.wait(50_000)
+    if answers:
+        desk.outcome(desk.put(1, rule_set), "done")
+    before = desk.hosts[host].limit
+    desk.wait(450_000)
+    assert desk.sent(lost) == [host] * (1 + again)
+    assert (desk.hosts[host].lag < 100_000) == (answers or host == "o")
+    if again:
+        desk.outcome(lost, "done", 1)
+        assert desk.did("cancel", lost) == [(lost, 0)]
+    else:
+        desk.outcome(lost, "timeout")
+    assert (desk.hosts[host].limit >= before) == answers
+
+
+@pytest.mark.parametrize("state", ["gone", "draining"])
+def test_a_lost_dispatch_is_not_sent_again_to_a_host_that_has_left(state):
+    desk = Desk(**{"ceilings.may-duplicate": "true"})
+    lost = desk.put(1)
+    [host] = desk.sent(lost)
+    desk.wait(50_000)
+    desk.owner(1)
+    desk.list([host], state=state)
+    desk.wait(450_000)
+    assert desk.sent(lost) == [host]
+
+
+def test_a_req_whose_copies_both_miss_is_fetched_once_and_waits_for_that():
+    desk = Desk(**{"ceilings.may-duplicate": "true"})
+    lead, req = desk.put(1), desk.put(1)
+    desk.wait(50_000)
+    desk.owner(1)
+    desk.wait(450_000)
+    assert len(desk.sent(lead)) == len(desk.sent(req)) == 2
+    for one, number in ((lead, 0), (req, 0), (req, 1), (lead, 1)):
+        desk.outcome(one, "miss", number)
+    assert desk.sent(lead)[2:] == ["o"] and not desk.sent(req)[2:] and not desk.did("deny")
+    desk.outcome(lead, "done", 2)
+    assert len(desk.sent(req)) == 3
+
+
 def test_a_uniqued_req_is_not_repeated_past_its_window():
     desk = Desk()
     req = desk.put(3, "mark")
