Who asks nothing makes way for who does; what is bad is told within 3 s, ids are open once

Checked: descriptors stood at 537, the door's own limit of 488 clients and 49 others; memory 13 MB, so HELD_KB was no bound there. All denies were the door's 503. A log of what hosts answered with an error: 168 of 175 were 400, five to each such req, all with an id that was open for another client. Cause: Clients.shed closed only connections in 'idle', and half a req is in none of them for PATIENCE, 10 s; a connection that reads its last answer counted among the most for a second more (LINGER); the room was made before it was known that anybody waits (accept). Client.take asked nobody whether an id is open; verdict_of told a host's 400 as an error, so the decisions tried four more hosts with it, each at the cost of a credit. Now connections that have not brought a whole req stand in a list by age: they are the first to make way after half a second, then the longest idle; after 2.5 s they get a 408 or, silent, a close. Those with their last answer do not count against others. An id that is open is answered 409, a host's 400 goes back to the client and to no other host. Repeated ids or deadlines, other transfer codings than chunked, HTTP/2 in words, and times that are no plain decimals are 4xx or 505.

--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -12,10 +12,13 @@
 from orchidgap.net.connection import SHORT, Address, Connection
 from orchidgap.net.loop import READ, Loop, Timer
 
-PATIENCE = 10_000_000   # for a req that has begun to come whole
+PATIENCE = 2_500_000    # for a req to come whole, since its connection or its first byte came
+SETTLED = 500_000       # after which who has asked nothing yet is the first to make way
+SWEEP = 250_000
 RESPITE = 50_000        # before accepting again where descriptors have run out
 BACKLOG = 512
-TURNED_AWAY = 16        # connections beyond the most that are told so at a time
+AT_A_TIME = 64          # connections let in before others get their turn
+TURNED_AWAY = 16        # connections beyond the most that may still read their last answer
 
 
 class Asked(Protocol):
@@ -30,10 +33,13 @@
 
     def knows(self, rule_set: str) -> bool: ...
 
+    def holds(self, id: bytes) -> bool:
+        """Whether a req of this id is open."""
+
     def shed(self) -> bool:
         """Close an idle connection elsewhere; whether there was one."""
 
-    def take(self, client: Client, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
+    def take(self, client: Client, id: bytes, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
              head: bytes, body: bytes) -> None:
         """Sets `client.asked`, and has `client.answer` called once."""
 
@@ -41,12 +47,12 @@
 class Client:
     """One connection from a client; it carries one req at a time."""
 
-    __slots__ = ("asked", "clients", "conn", "patience", "reader")
+    __slots__ = ("asked", "clients", "conn", "reader", "since")
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
         self.clients, self.reader = clients, http.ReqReader()
         self.asked: Asked | None = None
-        self.patience: Timer | None = None
+        self.since = clients.loop.now  # it came, or began with a req, or was refused
         self.conn = Connection(clients.loop, sock, self, stamped=True)
 
     def opened(self) -> None:
@@ -54,8 +60,9 @@
 
     def received(self, view: memoryview) -> None:
         reader = self.reader
-        if not reader.begun:
-            self.clients.idle.pop(self, None)
+        if not reader.begun and self in self.clients.idle:
+            del self.clients.idle[self]
+            self.clients.await_req(self)
         reader.feed(view)
         if self.asked:
             return  # sent before the answer: told when that is out
@@ -64,10 +71,8 @@
         if reader.trouble:
             self.refuse(reader.trouble)
         elif reader.whole:
-            self.rest_patience()
+            self.clients.unasked.pop(self, None)
             self.take()
-        elif not self.patience:  # most reqs come whole at once and need no timer
-            self.patience = self.clients.loop.later(PATIENCE, self.refuse, 408)
 
     def take(self) -> None:
         reader, door, fields = self.reader, self.clients.door, self.reader.fields
@@ -76,6 +81,8 @@
         except httptools.HttpParserInvalidURLError:
             return self.refuse(400)
         method = reader.parser.get_method()
+        if reader.parser.get_http_version() not in ("1.0", "1.1"):
+            return self.refuse(505)
         if method not in (b"GET", b"PUT"):
             return self.refuse(405)
         if (method, first, key) == (b"GET", "up", b""):
@@ -84,12 +91,15 @@
         if not door.knows(rule_set):
             return self.refuse(404)
         left = http.seconds(fields.get(b"request-timeout", b""))
-        if left is None or not fields.get(b"request-id"):
+        id = fields.get(b"request-id", b"")
+        if not left or not id:
             return self.refuse(400)
+        if door.holds(id):  # one answer would go to the wrong one, and hosts refuse the other
+            return self.refuse(409)
         body = b"".join(reader.body)
         head = http.onward(method, reader.target, fields, body)
         tenant = fields.get(b"tenant", b"").decode(errors="replace")
-        door.take(self, rule_set, left, method == b"PUT", key, tenant, head, body)
+        door.take(self, id, rule_set, left, method == b"PUT", key, tenant, head, body)
 
     def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
         reader, self.asked = self.reader, None
@@ -98,21 +108,23 @@
         if reader.extra:
             self.refuse(400)  # it did not wait for its answer
         elif last:
-            self.conn.finish()
+            self.part()
         elif self.conn.open:
             reader.reset()
             self.clients.idle[self] = None
 
     def refuse(self, status: int) -> None:
-        self.rest_patience()
-        if self.conn.open:
+        self.clients.unasked.pop(self, None)
+        if self.conn.open and not self.conn.closing:
             self.conn.send(http.answer(status, last=True))
-            self.conn.finish()
+            self.part()
 
-    def rest_patience(self) -> None:
-        if self.patience:
-            self.patience.cancel()
-            self.patience = None
+    def part(self) -> None:
+        """It may still read its last answer, but keeps no other client out by that."""
+        if self.conn.open:
+            self.since = self.clients.loop.now
+            self.clients.parting[self] = None
+            self.conn.finish()
 
     def ended(self, what: str) -> None:
         self.close()
@@ -120,10 +132,9 @@
             self.asked.hangup()
 
     def close(self) -> None:
-        self.rest_patience()
         self.conn.close()
-        self.clients.idle.pop(self, None)
-        self.clients.open.pop(self, None)
+        for among in (self.clients.idle, self.clients.unasked, self.clients.parting, self.clients.open):
+            among.pop(self, None)
 
 
 class Clients:
@@ -132,10 +143,13 @@
     def __init__(self, loop: Loop, door: Door, most: int) -> None:
         self.loop, self.door, self.most = loop, door, most
         self.open: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}  # the longest idle first
+        self.idle: dict[Client, None] = {}     # of these: served, and asking nothing; the longest first
+        self.unasked: dict[Client, None] = {}  # yet to bring a whole req; the longest first
+        self.parting: dict[Client, None] = {}  # with their last answer; the longest first
         self.listener: socket.socket | None = None
         self.resting: Timer | None = None
         self.leaving = False
+        loop.later(SWEEP, self.sweep)
 
     def listen(self, address: Address) -> None:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -149,10 +163,11 @@
         self.listener = listener
         self.loop.watch(listener, READ, self.accept)
 
-    def accept(self, mask: int = READ) -> None:
-        while self.listener:
-            crowded = len(self.open) >= self.most and not self.shed()
-            if len(self.open) >= self.most + TURNED_AWAY:
+    def accept(self, mask: int = READ, many: int = AT_A_TIME) -> None:
+        for _ in range(many):
+            if not self.listener:
+                return
+            if len(self.open) >= self.most + TURNED_AWAY and not self.hurry():
                 return self.rest()
             try:
                 sock, _ = self.listener.accept()
@@ -164,24 +179,44 @@
                 # to try again at once would spin: the connection still waits
                 made_way = error.errno in SHORT and (self.shed() or self.door.shed())
                 return None if made_way else self.rest()
-            self.let_in(sock, crowded)
+            self.let_in(sock)
 
-    def let_in(self, sock: socket.socket, crowded: bool = False) -> None:
+    def let_in(self, sock: socket.socket) -> None:
+        crowded = len(self.open) - len(self.parting) >= self.most and not self.shed()
         client = Client(self, sock)
         self.open[client] = None
         if crowded:  # left in the backlog, what it asks would count as taken and never be answered
             return client.refuse(503)
-        self.idle[client] = None
+        self.await_req(client)
         client.conn.ready(READ)  # what it asks has mostly come with it
 
+    def await_req(self, client: Client) -> None:
+        client.since = self.loop.now
+        self.unasked[client] = None
+
     def shed(self) -> bool:
-        """Close the connection that has been idle longest; whether there was one."""
-        for client in self.idle:
-            if not client.conn.out:  # else its answer would be cut
-                client.close()
-                return True
+        """Close a connection that nobody needs; whether there was one. Silence must not keep others out."""
+        silent = next(iter(self.unasked), None)
+        resting = next((client for client in self.idle if not client.conn.out), None)  # else it is cut
+        gone = silent if silent and self.loop.now - silent.since >= SETTLED else resting or silent
+        if gone:
+            gone.close()
+        return gone is not None
+
+    def hurry(self) -> bool:
+        """Close the connection that has had its last answer for longest; whether there was one."""
+        client = next(iter(self.parting), None)
+        if client and self.loop.now - client.since >= RESPITE:
+            client.close()
+            return True
         return False
 
+    def sweep(self) -> None:
+        """Nobody may begin and never end; one that said nothing at all is closed without a word."""
+        while (client := next(iter(self.unasked), None)) and self.loop.now - client.since >= PATIENCE:
+            client.refuse(408) if client.reader.begun else client.close()
+        self.loop.later(SWEEP, self.sweep)
+
     def rest(self) -> None:
         if self.listener and not self.resting:
             self.loop.unwatch(self.listener)
@@ -200,14 +235,14 @@
     def shut(self) -> None:
         """Let nobody in any more, and let those go who ask nothing."""
         if self.listener:
-            self.accept()
+            self.accept(many=BACKLOG)
             listener, self.listener = self.listener, None
             if self.resting:
                 self.resting.cancel()
             else:
                 self.loop.unwatch(listener)
             listener.close()
-        for client in list(self.idle):
+        for client in [*self.idle, *self.unasked]:
             client.conn.ready(READ)  # a req that has come is still answered
-            if client in self.idle:
-                client.conn.finish() if client.conn.out else client.close()
+            if client in self.idle or client in self.unasked and not client.reader.begun:
+                client.part() if client.conn.out else client.close()
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -108,11 +108,13 @@
     """
     >>> [verdict_of(status, True) for status in (200, 404, 503, 504, 500)]
     ['done', 'miss', 'full', 'full', 'error']
-    >>> verdict_of(503, False)
-    'error'
+    >>> verdict_of(503, False), verdict_of(400, False), verdict_of(429, False)
+    ('error', 'unfit', 'error')
     """
     if status in (503, 504) and not_started:
         return "full"
+    if status == 400:  # its fault is in the req: any other host would say the same
+        return "unfit"
     return {200: "done", 404: "miss"}.get(status, "error")
 
 
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import re
 from urllib.parse import unquote_to_bytes
 
 import httptools
 
 MOST_HEAD = 1 << 14
 MOST_BODY = 1 << 16
+SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?")
 PADDING = 8  # times a body's bytes that its framing may take
+ONCE = frozenset((b"request-id", b"request-class", b"request-timeout", b"tenant", b"idempotency-key"))
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
-           413: "Content Too Large", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
-           503: "Service Unavailable"}
+           409: "Conflict", 413: "Content Too Large", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
 
 
 class Reader:
@@ -64,11 +67,16 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not (self.whole or self.headed):  # trailers say nothing that counts
-            self.fields[name.lower()] = value
+            name = name.lower()
+            if name in ONCE and name in self.fields:  # two readers could take one each
+                self.trouble = self.trouble or 400
+            self.fields[name] = value
 
     def on_headers_complete(self) -> None:
         if not self.whole:
             self.headed = True
+            if self.fields.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+                self.trouble = self.trouble or 400  # what it is packed in would go on as if it were the body
             length = self.fields.get(b"content-length", b"0")
             if length.isdigit() and int(length) > self.most:
                 self.trouble = self.trouble or 413
@@ -145,14 +153,13 @@
 def seconds(text: bytes) -> int | None:
     """Whole microseconds, or None where the text is no time that could be waited for.
 
-    >>> seconds(b"0.480"), seconds(b"2"), seconds(b"-1"), seconds(b"nan"), seconds(b"1e999"), seconds(b"x")
+    >>> seconds(b"0.480"), seconds(b"2"), seconds(b"-1"), seconds(b"nan"), seconds(b"9" * 99), seconds(b"1_0")
     (480000, 2000000, None, None, None, None)
     """
-    try:
-        micros = float(text) * 1e6
-    except ValueError:
+    if not SECONDS.fullmatch(text):
         return None
-    return round(micros) if 0 <= micros <= 3.6e9 else None
+    micros = float(text) * 1e6
+    return round(micros) if micros <= 3.6e9 else None
 
 
 def answer(status: int, length: int = 0, last: bool = False, pause: int = 0) -> bytes:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -40,10 +40,13 @@
 class Exchange:
     """One req on the network, from its last byte to its answer and the last of its dispatches."""
 
-    __slots__ = ("body", "client", "due", "head", "id", "node", "over", "timer", "trips")
+    __slots__ = ("body", "client", "due", "head", "id", "name", "node", "over", "timer", "trips")
 
-    def __init__(self, node: Node, id: int, client: Client, head: bytes, body: bytes, due: int) -> None:
+    def __init__(self, node: Node, id: int, name: bytes, client: Client, head: bytes, body: bytes,
+                 due: int) -> None:
         self.node, self.id, self.client, self.head, self.body, self.due = node, id, client, head, body, due
+        self.name = name  # its id with the client
+        node.names.add(name)
         self.over = False
         self.trips: list[Trip] = []
         self.timer = node.loop.at(due, self.overdue)
@@ -56,6 +59,7 @@
     def close(self) -> None:
         self.over = True
         self.timer.cancel()
+        self.node.names.discard(self.name)
         self.node.tidy(self)
 
     def hangup(self) -> None:
@@ -74,8 +78,8 @@
             self.answer(500)
 
     def came_back(self, number: int, verdict: str, body: bytes) -> None:
-        if verdict == "done":
-            self.answer(200, body)
+        if verdict in ("done", "unfit"):
+            self.answer(200 if verdict == "done" else 400, body)
         self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
         self.node.tidy(self)
 
@@ -88,6 +92,7 @@
         self.loop, self.note = loop, log
         self.station = station
         self.reqs: dict[int, Exchange] = {}
+        self.names: set[bytes] = set()  # of reqs that are owed an answer
         self.count = 0
         self.listed = False
         room = station.sockets - SPARE
@@ -112,15 +117,19 @@
     def knows(self, rule_set: str) -> bool:
         return rule_set in self.station.terms.rule_sets
 
+    def holds(self, id: bytes) -> bool:
+        return id in self.names
+
     def shed(self) -> bool:
         return self.hosts.shed()
 
-    def take(self, client: Client, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
+    def take(self, client: Client, id: bytes, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
              head: bytes, body: bytes) -> None:
         self.count += 1
         # the client counts from its send, which a loop that was held up learns late
         due = client.conn.came + left - min(GUARD, left // 4)
-        exchange = client.asked = self.reqs[self.count] = Exchange(self, self.count, client, head, body, due)
+        exchange = client.asked = self.reqs[self.count] = Exchange(self, self.count, id, client, head, body,
+                                                                        due)
         self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
                   number_of(key), tenant, exchange=exchange)
 
