Answers may hold 1 MiB in place of 64 KiB

A log of how those dispatches ended: 456 of 456 'no proper answer', a good head with Content-Length between 65,537 and about 400,000. Cause: Reader.on_headers_complete held answers to MOST_BODY, the 64 KiB that the protocol names for bodies, and so failed each larger value everywhere, with waste, dials and credit lost on top; Connection.MOST_OUT would have cut them on the way out too. Answers now have a bound of their own, 1 MiB; reqs keep 64 KiB. An answer said to have 3 GB is still refused by its head.

--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -16,7 +16,7 @@
 
 LINGER = 1_000_000    # for the other side to close once it has our last words
 UNREAD = 10_000_000   # for the other side to read what is written
-MOST_OUT = 1 << 18    # bytes waiting to be written
+MOST_OUT = 1 << 21    # bytes waiting to be written: the largest answer, and what is said behind it
 UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
 SO_TIMESTAMPNS = 35   # Linux: the kernel tells when what is read came in
 STAMP = struct.Struct("qq")
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 
 from orchidgap.net.connection import Address, Connection, Fault, Reach, dial
-from orchidgap.net.http import AnswerReader
+from orchidgap.net.http import MOST_ANSWER, AnswerReader
 from orchidgap.net.loop import Loop, Timer
 
 SWEEP = 1_000_000
@@ -45,7 +45,7 @@
     __slots__ = ("conn", "idle_since", "pool", "reader", "start", "timer", "trip")
 
     def __init__(self, pool: Pool, sock: socket.socket, trip: Trip) -> None:
-        self.pool, self.reader = pool, AnswerReader()
+        self.pool, self.reader = pool, AnswerReader(MOST_ANSWER)
         self.idle_since = self.start = 0
         self.trip: Trip | None = trip
         trip.link = self
--- a/orchidgap/net/http.py
+++ b/orchidgap/net/http.py
@@ -8,7 +8,8 @@
 import httptools
 
 MOST_HEAD = 1 << 14
-MOST_BODY = 1 << 16
+MOST_BODY = 1 << 16    # of a req
+MOST_ANSWER = 1 << 20  # of an answer: hosts hold values of some hundred KB, and refusing those fails the req
 SECONDS = re.compile(rb"[0-9]{1,9}(\.[0-9]*)?")
 PADDING = 8  # times a body's bytes that its framing may take
 ONCE = frozenset((b"request-id", b"request-class", b"request-timeout", b"tenant", b"idempotency-key"))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -52,6 +52,22 @@
     assert heard(client).startswith("HTTP/1.1 200")
 
 
+@pytest.mark.parametrize(("size", "status"), [(400_000, 200), (1 << 20, 200), (1_100_000, 503)])
+def test_large_values_come_through_and_endless_ones_do_not(size, status):
+    net = Net(1)
+    client = net.ask("k")
+    far, parts = net.far(), []
+    far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    for at in range(0, size, 50_000):
+        if heard(far) != "":
+            net.says(far, b"v" * min(50_000, size - at))
+    while part := heard(client):
+        parts.append(part)
+        net.turn(1)
+    head, _, body = "".join(parts).partition("\r\n\r\n")
+    assert head.startswith(f"HTTP/1.1 {status}") and body == ("v" * size if status == 200 else "")
+
+
 def test_an_answer_that_the_client_reads_slowly_still_comes_whole():
     net = Net(1)
     client = net.ask("k")
