A kept link that breaks unanswered costs its host nothing, and the req goes there again

Checked: 474 of about 3,500 dispatches of that kind were written on links that the host resets at the next req, none of them with a byte of an answer, and hosts answered everything else at their usual pace; the older links of the same pools broke alike. Cause: Link.ended told them as any reset. Each took a credit of the host, past one in six of them the host rested and its limit fell (Dispatch.back), the req went to a neighbour that lacks the key (Placement.choose: tried), and only for a credit. Now a link that had been kept and breaks before the first byte of an answer is 'stale': it may have run, so the rule set decides as before whether it may go again; but it goes to the same host, for no credit, and the older links of that pool are closed. Also: a connection makes way only when nothing of it waits to be read (clients.py, quiet): closing it would have cost a req.

--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -126,6 +126,10 @@
             self.clients.parting[self] = None
             self.conn.finish()
 
+    def quiet(self) -> bool:
+        """No answer waits to be read by it, and nothing of it to be read here."""
+        return not self.conn.out and not self.conn.stale()
+
     def ended(self, what: str) -> None:
         self.close()
         if self.asked:
@@ -196,8 +200,8 @@
 
     def shed(self) -> bool:
         """Close a connection that nobody needs; whether there was one. Silence must not keep others out."""
-        silent = next(iter(self.unasked), None)
-        resting = next((client for client in self.idle if not client.conn.out), None)  # else it is cut
+        silent = next(filter(Client.quiet, self.unasked), None)
+        resting = next(filter(Client.quiet, self.idle), None)
         gone = silent if silent and self.loop.now - silent.since >= SETTLED else resting or silent
         if gone:
             gone.close()
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -35,24 +35,25 @@
 class Fault(NamedTuple):
     """An error as a value. Only a dispatch whose last byte was written can have run.
 
-    >>> for cause in ("broken", "overdue", "cancelled", "short"):
+    >>> for cause in ("broken", "stale", "overdue", "cancelled", "short"):
     ...     print([Fault(reach, cause).verdict for reach in Reach])
     ['unconnected', 'unconnected', 'reset']
+    ['unconnected', 'unconnected', 'stale']
     ['moot', 'moot', 'timeout']
     ['moot', 'moot', 'cancelled']
     ['moot', 'moot', 'reset']
     """
 
     reach: Reach
-    cause: str  # broken, overdue, cancelled, or short (of descriptors)
+    cause: str  # broken, stale (broken after it was kept), overdue, cancelled, or short (of descriptors)
     what: str = ""
 
     @property
     def verdict(self) -> str:
         if self.reach is Reach.WHOLE:
-            return {"overdue": "timeout", "cancelled": "cancelled"}.get(self.cause, "reset")
+            return {"overdue": "timeout", "cancelled": "cancelled", "stale": "stale"}.get(self.cause, "reset")
         # what this balancer itself lacks says nothing against the host
-        return "unconnected" if self.cause == "broken" else "moot"
+        return "unconnected" if self.cause in ("broken", "stale") else "moot"
 
 
 Address = tuple[str, int]
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/net/hosts.py
@@ -90,8 +90,11 @@
 
     def ended(self, what: str) -> None:
         trip, self.trip = self.trip, None
-        fault = Fault(self.reach(), "broken", what)
+        stale = trip is not None and self.idle_since > 0 and not self.reader.begun
+        fault = Fault(self.reach(), "stale" if stale else "broken", what)
         self.close()
+        while stale and self.pool.idle:  # kept for longer yet: the next try needs one that holds
+            self.pool.idle[0].close()
         if trip:
             # not at once: this may be the decision's own call to send
             self.pool.hosts.loop.soon(trip.settle, fault.verdict)
--- a/orchidgap/rules.py
+++ b/orchidgap/rules.py
@@ -26,7 +26,7 @@
 TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 24.0  # dispatches out at one host, from all instances together
-FELL = frozenset(("full", "unconnected", "error", "reset"))  # verdicts after which another host may do
+FELL = frozenset(("full", "unconnected", "error", "reset", "stale"))  # after these, another dispatch may do
 
 
 class Admission(Stage):
@@ -131,7 +131,7 @@
         if heat and ring[i].cut_at and self.desk.now - ring[i].cut_at < RECOVERY * self.desk.target:
             k = self.desk.rng.randrange(min(n, 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)))
             i = (i + (-k // 2 if k % 2 else k // 2)) % n
-        tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
+        tried = [sent.host for sent in req.sent if sent.verdict not in ("miss", "stale")]
         for step in range(min(2, n // 2) + 1):
             for host in (ring[i - step], ring[(i + step) % n]):  # the owner is asked twice
                 if self.room(host) and host not in tried:
@@ -155,8 +155,8 @@
         self.drain()
         if sent.verdict in FELL and not (req.over or req.missed or sent.host.is_origin):
             host = self.choose(req)
-            if host and host.credit >= 1.0 and self.desk.may_repeat(req, host):
-                host.credit -= 1.0
+            if host and (host.credit >= 1.0 or sent.verdict == "stale") and self.desk.may_repeat(req, host):
+                host.credit -= sent.verdict != "stale"  # an old link that broke is nobody's failure
                 return self.next.take(req, host)
         self.prev.back(req, sent)
 
@@ -279,7 +279,7 @@
             host.shun_until, host.credit, host.heard_at = 0, min(10.0, host.credit + 0.2), now
         if verdict == "done" or verdict == "timeout" and not self.lost(sent):  # a miss is told at once
             self.heard(host, now - sent.at)
-        elif verdict in FELL:
+        elif verdict in FELL and verdict != "stale":
             spoilt = verdict in ("error", "reset")
             host.credit = max(0.0, host.credit - spoilt)
             desk.pool.count(host, verdict == "full")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -173,6 +173,20 @@
     assert (desk.hosts[host].limit >= before) == answers
 
 
+@pytest.mark.parametrize(("rule_set", "again"), [("read", True), ("mark", True), ("once", False)])
+def test_a_link_that_was_kept_too_long_costs_its_host_nothing(rule_set, again):
+    desk = Desk()
+    for _ in range(12):
+        req = desk.put(1, rule_set)
+        [host] = desk.sent(req)
+        before = desk.hosts[host].credit, desk.hosts[host].limit
+        desk.outcome(req, "stale")
+        assert (desk.hosts[host].credit, desk.hosts[host].limit) == before
+        assert desk.sent(req) == [host] * (1 + again)
+        desk.outcome(req, "done", 1)
+    assert len(desk.did("abort")) == (0 if again else 12)
+
+
 @pytest.mark.parametrize("state", ["gone", "draining"])
 def test_a_lost_dispatch_is_not_sent_again_to_a_host_that_has_left(state):
     desk = Desk(**{"ceilings.may-duplicate": "true"})
