--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/clients.py
@@ -201,9 +201,9 @@
 
     def shed(self) -> bool:
         """Close a connection that nobody needs; whether there was one. Silence must not keep others out."""
-        silent = next(filter(Client.quiet, self.unasked), None)
-        resting = next(filter(Client.quiet, self.idle), None)
-        gone = silent if silent and self.loop.now - silent.since >= SETTLED else resting or silent
+        gone = next(filter(Client.quiet, self.unasked), None)
+        if not gone or self.loop.now - gone.since < SETTLED:
+            gone = next(filter(Client.quiet, self.idle), None) or gone
         if gone:
             gone.close()
         return gone is not None
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -23,7 +23,7 @@
 TICK = 10_000
 LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
-HELD_KB = 128        # what one client makes the balancer hold at most, all taken together: a req or an answer
+HELD_KB = 128        # reckoned for each client: a req or an answer; few are as large, and few answers larger
 BASE_MB = 16         # what the program itself needs (11 measured), with room to spare
 
 
