--- a/orchidgap/chain.py
+++ b/orchidgap/decisions/chain.py
@@ -6,22 +6,31 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import pairwise
-from typing import TYPE_CHECKING, Any
+from typing import Any, Generic, Protocol, TypeVar
 
-from orchidgap.ports import Port
-from orchidgap.records import Host, Req, Sent
+from orchidgap.decisions.ports import Port
+from orchidgap.decisions.records import Host, Req, Sent
 
-if TYPE_CHECKING:
-    from orchidgap.rules import Balancer, Dispatch
 
+class Desk(Protocol):
+    """What a stage asks of whoever it works for."""
 
-class Stage:
+    now: int
+
+    def hold(self, req: Req) -> None:
+        """Have it given up in time, should no host be found."""
+
+
+D = TypeVar("D", bound=Desk)
+
+
+class Stage(Generic[D]):
     """One link of the chain: `take` passes a req down, `back` passes what came of a dispatch up."""
 
-    next: Stage
-    prev: Stage
+    next: Stage[D]
+    prev: Stage[D]
 
-    def __init__(self, desk: Balancer) -> None:
+    def __init__(self, desk: D) -> None:
         self.desk = desk
         self.held: deque[Req] = deque()
         self.hosts: list[Host] = []
@@ -53,7 +62,7 @@
         self.prev.back(req, sent)
 
 
-def link(*stages: Stage) -> None:
+def link(*stages: Stage[Any]) -> None:
     for above, below in pairwise(stages):
         above.next, below.prev = below, above
 
@@ -90,7 +99,7 @@
 class Door(Agenda):
     """Ids come in here: what becomes of a dispatch is booked once and then runs up the chain."""
 
-    sender: Dispatch
+    sender: Stage[Any]
 
     def __init__(self, port: Port, now: int) -> None:
         super().__init__(port, now)
--- a/orchidgap/records.py
+++ b/orchidgap/decisions/records.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from orchidgap.terms import RuleSet
+from orchidgap.decisions.terms import RuleSet
 
 UNRUN = frozenset(("full", "unconnected", "moot", "miss"))  # verdicts that prove a dispatch never ran
 
--- a/orchidgap/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -14,11 +14,11 @@
 from itertools import accumulate
 from random import Random
 
-from orchidgap.chain import Door, Stage, link
-from orchidgap.ports import Port
-from orchidgap.records import Host, Req, Sent
-from orchidgap.tally import ALL, MINE, ROW, SLOTS, SUMS, Tally, code_of, rows, texts
-from orchidgap.terms import ServiceTerms
+from orchidgap.decisions.chain import Door, Stage, link
+from orchidgap.decisions.ports import Port
+from orchidgap.decisions.records import Host, Req, Sent
+from orchidgap.decisions.tally import ALL, MINE, ROW, SLOTS, SUMS, Tally, code_of, rows, texts
+from orchidgap.decisions.terms import ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
@@ -29,7 +29,7 @@
 FELL = frozenset(("full", "unconnected", "error", "reset", "stale"))  # after these, another dispatch may do
 
 
-class Admission(Stage):
+class Admission(Stage["Balancer"]):
     """Turns reqs away early while the oldest held one shows overload; gives what is left its final answer."""
 
     def __init__(self, desk: Balancer) -> None:
@@ -70,7 +70,7 @@
             self.let_in[name] *= 0.8
 
 
-class Merging(Stage):
+class Merging(Stage["Balancer"]):
     """One fetch a key at a time: later reqs for the key wait for it and then ask the cache."""
 
     def __init__(self, desk: Balancer) -> None:
@@ -101,7 +101,7 @@
                     self.take(follower)
 
 
-class Placement(Stage):
+class Placement(Stage["Balancer"]):
     """The range's owner serves the key; a neighbour only where the owner rests, is cold or has no room."""
 
     def __init__(self, desk: Balancer) -> None:
@@ -217,7 +217,7 @@
         self.drawn_at, self.fleet.sends = now, 0
 
 
-class Origin(Stage):
+class Origin(Stage["Balancer"]):
     """Writes and misses go to the origin within a limit that follows how it answers."""
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -241,7 +241,7 @@
         self.prev.back(req, sent)
 
 
-class Dispatch(Stage):
+class Dispatch(Stage["Balancer"]):
     """Sends, and keeps each host's record by what comes back."""
 
     def take(self, req: Req, host: Host | None = None) -> None:
@@ -374,6 +374,8 @@
 class Balancer(Door):
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
+    sender: Dispatch
+
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
         super().__init__(port, now)
         self.terms, self.rng = terms, Random(seed)
--- a/orchidgap/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -33,7 +33,7 @@
     >>> ServiceTerms.read({"rule-sets.count": "1", "rule-sets.0.name": "a"})
     Traceback (most recent call last):
         ...
-    orchidgap.terms.MissingTerm: setting rule-sets.0.client-timeout is missing
+    orchidgap.decisions.terms.MissingTerm: setting rule-sets.0.client-timeout is missing
     """
 
     rule_sets: dict[str, RuleSet]
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -8,6 +8,7 @@
 from hashlib import blake2b
 from typing import Any
 
+from orchidgap.decisions.rules import Balancer
 from orchidgap.net.clients import Client, Clients
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.hosts import Hosts, Trip
@@ -15,7 +16,6 @@
 from orchidgap.net.loop import Loop
 from orchidgap.net.registry import Entry, Registry
 from orchidgap.net.start import Station
-from orchidgap.rules import Balancer
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
 LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -8,9 +8,9 @@
 
 import orjson
 
+from orchidgap.decisions.terms import MissingTerm, ServiceTerms
 from orchidgap.net.connection import Address
 from orchidgap.net.registry import Entry, address_of, decoded
-from orchidgap.terms import MissingTerm, ServiceTerms
 
 
 class BadStart(Exception):
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -5,8 +5,8 @@
 from base64 import b64decode, b64encode
 from typing import BinaryIO
 
-from orchidgap.rules import Balancer
-from orchidgap.terms import MissingTerm, ServiceTerms
+from orchidgap.decisions.rules import Balancer
+from orchidgap.decisions.terms import MissingTerm, ServiceTerms
 
 VERDICTS = {
     "Ok": "done", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout",
--- a/tests/desk.py
+++ b/tests/desk.py
@@ -2,13 +2,13 @@
 
 import socket
 
+from orchidgap.decisions.rules import Balancer
+from orchidgap.decisions.terms import ServiceTerms
 from orchidgap.net.connection import Fault, Reach
 from orchidgap.net.loop import Loop
 from orchidgap.net.node import Node
 from orchidgap.net.registry import decoded
 from orchidgap.net.start import Station
-from orchidgap.rules import Balancer
-from orchidgap.terms import ServiceTerms
 
 PAIRS = {
     "family-info.mode": "aside", "family-info.origin-kind": "1", "kinds": "cache,origin",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 import pytest
 from desk import Desk
 
-from orchidgap.rules import SPACE
+from orchidgap.decisions.rules import SPACE
 
 
 def sizes(desk):
