--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -281,7 +281,7 @@
 
     def lost(self, sent: Sent) -> bool:
         """Whether its host is quick and has answered others since: then silence says nothing of the host."""
-        return sent.host.heard_at > sent.at and 3 * sent.host.lag < self.desk.now - sent.at
+        return sent.host.heard_at > sent.at and 6 * sent.host.lag < self.desk.now - sent.at
 
     def back(self, req: Req, sent: Sent) -> None:
         desk, host, now, verdict = self.desk, sent.host, self.desk.now, sent.verdict
