A read that no cache takes goes to an origin with more than half its room free

Change: Placement passes such a read on as missed while Origin.spare. A deny of a uniqued req that may have run advises a pause inside its window.

--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -118,6 +118,9 @@
         self.desk.pool.note(SLOTS + req.slot, 1)
         if host := self.choose(req):
             return self.next.take(req, host)
+        if not req.write and self.desk.origin.spare():  # no cache takes it, and the origin has time
+            req.missed = True
+            return self.prev.take(req)
         if not self.ring or not self.ring[bisect_right(self.cuts, req.slot)].out:
             return self.desk.finish(req)  # nothing is out that would make room
         self.keep(req)
@@ -236,6 +239,11 @@
                  and self.desk.may_repeat(req, host)]  # another origin may not drop a repeat
         return min(ready, key=lambda host: host.out) if ready else None
 
+    def spare(self) -> bool:
+        """Whether it could take a read that no cache has been asked for, and keep most of its room."""
+        return not self.held and any(host.out * 2 < host.limit - 1 and self.desk.now >= host.shun_until
+                                     for host in self.hosts)
+
     def hopeless(self, req: Req) -> bool:
         return not any(self.desk.may_repeat(req, host) for host in self.hosts)
 
@@ -483,9 +491,12 @@
 
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        rule_set = req.rule_set
-        if rule_set.replayable or not req.suspects() or (rule_set.uniqued and rule_set.group == "all"):
-            self.port.deny(req.id, self.terms.max_pause // 2)
+        rule_set, pause = req.rule_set, self.terms.max_pause // 2
+        doubtful = [] if rule_set.replayable else req.suspects()
+        if not doubtful or (rule_set.uniqued and rule_set.group == "all"):
+            if doubtful:  # a retry that comes when its mark is forgotten would run again
+                pause = min(pause, max(0, rule_set.repeat_window - (self.now - doubtful[0].at)) // 2)
+            self.port.deny(req.id, pause)
         else:
             self.port.abort(req.id)
         self.end(req)
