HTTP/1.1 moves to a package of its own; the node is given its door, pools and list

Need: a second protocol is to stand before the same decisions. Change: net keeps loop, connection, doorway, trip, node; http1 holds codec, front, upstream and registry and is handed to the node as its Parts; net imports none of it.

--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -44,6 +44,7 @@
 from docopt import docopt
 
 from orchidgap import VERSION
+from orchidgap.http1 import Http1
 from orchidgap.net import start
 from orchidgap.net.serve import serve
 
@@ -63,7 +64,7 @@
     try:
         path = told["--config"] or os.environ.get("GW_CONFIG")
         if told["serve"]:
-            return serve(path)
+            return serve(path, Http1())
         station = start.read(path)
     except start.BadStart as trouble:
         sys.exit(f"orchidgap: {trouble}")
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -409,8 +409,10 @@
         if terms.subscribes:
             self.ask_soon(terms.ask_within // 10)
 
-    def on_req(self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str) -> None:
-        slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
+    def on_req(self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str,
+               slot: int = -1) -> None:
+        if slot < 0:  # not the protocol's own
+            slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
         req = Req(id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left)
         self.reqs[id] = req
         self.admission.take(req)
--- a/orchidgap/net/registry.py
+++ b/orchidgap/http1/registry.py
@@ -4,75 +4,26 @@
 
 import socket
 from collections.abc import Callable
-from ipaddress import IPv4Address
 from random import Random
 from typing import Any
 
 import orjson
 
+from orchidgap.http1.codec import AnswerReader
 from orchidgap.net.connection import Address, Connection, Fault, dial
-from orchidgap.net.http import AnswerReader
 from orchidgap.net.loop import Loop, Timer
+from orchidgap.net.places import Entry, Place, decoded
 
 WATCH_MS = 5_000            # how long a watch may wait: silence beyond it is noticed
 GRACE = 1_000_000           # after which an answer that is due is held to be lost
 FIRST, LONGEST = 100_000, 2_000_000  # back-off
 SHORTEST = 20_000           # a watch that tells nothing in less is not asked again at once
 MOST = 1 << 22              # bytes of a list
-STATES = {"Ready": "up", "Terminating": "draining", "Gone": "gone"}
-
-Entry = tuple[str, str, int, str, str, str, float]
-
-
-def address_of(text: str) -> Address:
-    """
-    >>> address_of("127.0.0.1:80")
-    ('127.0.0.1', 80)
-    >>> address_of("cache.internal:80")
-    Traceback (most recent call last):
-        ...
-    ValueError: not an address: 'cache.internal:80'
-    """
-    host, _, port = text.rpartition(":")
-    try:
-        IPv4Address(host)  # a name would be looked up, and the loop would wait for that
-        if not 0 < int(port) < 1 << 16:
-            raise ValueError
-    except ValueError:
-        raise ValueError(f"not an address: {text!r}") from None
-    return host, int(port)
-
-
-def decoded(told: Any) -> tuple[int, bool, list[Entry], list[tuple[str, str, Address]]]:
-    """The version, whether the list is whole, its entries, and where each host is found.
-
-    One odd entry must not keep the balancer on an old list: a host in a state that has no name here, or at no
-    address, wants nothing new.
-
-    >>> decoded({"seq": 4, "whole": False, "hosts": [{"host": "s", "dial": "127.0.0.2:7", "site": "a",
-    ...     "class": "m", "block": 3, "health": "Ready", "share": 1, "born_ms": 5}]})
-    (4, False, [('s', 'up', 5000, 'a', 'm', '3', 1.0)], [('s', 'up', ('127.0.0.2', 7))])
-    >>> decoded({"seq": 4, "whole": True, "hosts": [{"host": "s", "dial": "", "health": "Ready"}]})[3]
-    [('s', 'draining', ('', 0))]
-    """
-    entries, found = [], []
-    for host in told["hosts"]:
-        id, state, address = str(host["host"]), STATES.get(host["health"], "draining"), ("", 0)
-        if state != "gone":
-            try:
-                address = address_of(host["dial"])
-            except ValueError:
-                state = "draining"
-        share, born = host.get("share"), host.get("born_ms")
-        entries.append((id, state, int(born or 0) * 1000, str(host.get("site")), str(host.get("class")),
-                        str(host.get("block")), 1.0 if share is None else float(share)))
-        found.append((id, state, address))
-    return int(told["seq"]), bool(told["whole"]), entries, found
 
 
 class Registry:
     def __init__(self, loop: Loop, address: Address, rng: Random,
-                 heard: Callable[[bool, list[Entry], list[tuple[str, str, Address]]], None],
+                 heard: Callable[[bool, list[Entry], list[Place]], None],
                  log: Callable[..., None], dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
         self.loop, self.address, self.rng, self.heard, self.log = loop, address, rng, heard, log
         self.dialer = dial
--- a/orchidgap/net/hosts.py
+++ b/orchidgap/http1/upstream.py
@@ -1,4 +1,4 @@
-"""Connections to the cache hosts and the origin: a pool each, and the dispatches on their way."""
+"""Connections over HTTP/1.1 to the cache hosts and the origin: a pool each, and what is on its way."""
 
 from __future__ import annotations
 
@@ -6,39 +6,14 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 
+from orchidgap.http1.codec import MOST_ANSWER, AnswerReader
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken, dial
-from orchidgap.net.http import MOST_ANSWER, AnswerReader
 from orchidgap.net.loop import Loop, Timer
+from orchidgap.net.trip import Trip
 
 SWEEP = 1_000_000
 
 
-class Trip:
-    """One dispatch on the network. Exactly one thing comes of it."""
-
-    __slots__ = ("back", "body", "due", "head", "link", "settled")
-
-    def __init__(self, head: bytes, body: bytes, due: int, back: Callable[[str, bytes], None]) -> None:
-        self.head, self.body, self.due, self.back = head, body, due, back
-        self.link: Link | None = None
-        self.settled = False
-
-    def settle(self, verdict: str, body: bytes = b"") -> None:
-        if not self.settled:
-            self.settled = True
-            self.link = None
-            self.back(verdict, body)
-
-    def stop(self, cause: str) -> Fault:
-        """Give it up where it stands: the host sees its connection close."""
-        link, self.link = self.link, None
-        if link is None:
-            return Fault(Reach.UNSENT, cause)
-        reach = link.reach()
-        link.close()
-        return Fault(reach, cause)
-
-
 class Link:
     """One connection to a host: opening, idle, or carrying one trip."""
 
@@ -58,6 +33,12 @@
             return Reach.UNSENT
         return Reach.PARTLY if self.conn.out else Reach.WHOLE
 
+    def drop(self, trip: Trip) -> Reach:
+        """The host sees its connection close: there is no other way to tell it."""
+        reach = self.reach()
+        self.close()
+        return reach
+
     def opened(self) -> None:
         if self.timer:
             self.timer.cancel()
@@ -226,6 +207,9 @@
             min(idle, key=lambda link: link.idle_since).close()
         return bool(idle)
 
+    def known(self) -> int:
+        return len(self.pools)
+
     def sweep(self) -> None:
         for pool in self.pools.values():
             while pool.idle and pool.worn(pool.idle[0]):
--- a/orchidgap/net/clients.py
+++ b/orchidgap/net/doorway.py
@@ -1,14 +1,12 @@
-"""Connections from clients: accepted, read into reqs, answered once each."""
+"""The door to clients, whatever they speak: a listener, who is let in, who makes way."""
 
 from __future__ import annotations
 
 import errno
 import socket
+from collections.abc import Callable
 from typing import Protocol
 
-import httptools
-
-from orchidgap.net import http
 from orchidgap.net.connection import SHORT, Address, Connection
 from orchidgap.net.loop import READ, Loop, Timer
 
@@ -28,6 +26,17 @@
         """Its client has gone away."""
 
 
+class Answered(Protocol):
+    """Whoever is owed the answer to one req; the codes are 200, 400, 500 and 503, whatever is spoken."""
+
+    asked: Asked | None
+
+    @property
+    def conn(self) -> Connection: ...
+
+    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None: ...
+
+
 class Door(Protocol):
     def ready(self) -> bool: ...
 
@@ -39,86 +48,40 @@
     def shed(self) -> bool:
         """Close an idle connection elsewhere; whether there was one."""
 
-    def take(self, client: Client, id: bytes, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
-             head: bytes, body: bytes) -> None:
-        """Sets `client.asked`, and has `client.answer` called once."""
+    def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
+             tenant: str, head: bytes, body: bytes, slot: int = -1) -> None:
+        """Sets `caller.asked`, and has `caller.answer` called once. `left` is in microseconds; a slot below 0
+        is drawn from the key."""
 
 
-class Client:
-    """One connection from a client; it carries one req at a time."""
+class Caller:
+    """A connection from a client, as far as all protocols have the same need of it."""
 
-    __slots__ = ("asked", "clients", "conn", "reader", "since")
+    __slots__ = ("clients", "conn", "since")
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
-        self.clients, self.reader = clients, http.ReqReader()
-        self.asked: Asked | None = None
+        self.clients = clients
         self.since = clients.loop.now  # it came, or began with a req, or was refused
         self.conn = Connection(clients.loop, sock, self, stamped=True)
 
-    def opened(self) -> None:
-        pass
+    @property
+    def begun(self) -> bool:
+        """Whether part of a req has come."""
+        raise NotImplementedError
 
     def received(self, view: memoryview) -> None:
-        reader = self.reader
-        if not reader.begun and self in self.clients.idle:
-            del self.clients.idle[self]
-            self.clients.await_req(self)
-        reader.feed(view)
-        if self.asked:
-            return  # sent before the answer: told when that is out
-        if reader.headed and not reader.whole and reader.fields.pop(b"expect", b""):
-            self.conn.send(http.CONTINUE)
-        if reader.trouble:
-            self.refuse(reader.trouble)
-        elif reader.whole:
-            self.clients.unasked.pop(self, None)
-            self.take()
-
-    def take(self) -> None:
-        reader, door, fields = self.reader, self.clients.door, self.reader.fields
-        try:
-            first, key = http.split(reader.target)
-        except httptools.HttpParserInvalidURLError:
-            return self.refuse(400)
-        method = reader.parser.get_method()
-        if reader.parser.get_http_version() not in ("1.0", "1.1"):
-            return self.refuse(505)
-        if method not in (b"GET", b"PUT"):
-            return self.refuse(405)
-        if (method, first, key) == (b"GET", "up", b""):
-            return self.answer(200 if door.ready() else 503)
-        rule_set = fields.get(b"request-class", first.encode()).decode(errors="replace")
-        if not door.knows(rule_set):
-            return self.refuse(404)
-        left = http.seconds(fields.get(b"request-timeout", b""))
-        id = fields.get(b"request-id", b"")
-        if not left or not id:
-            return self.refuse(400)
-        if door.holds(id):  # one answer would go to the wrong one, and hosts refuse the other
-            return self.refuse(409)
-        body = b"".join(reader.body)
-        head = http.onward(method, reader.target, fields, body)
-        tenant = fields.get(b"tenant", b"").decode(errors="replace")
-        door.take(self, id, rule_set, left, method == b"PUT", key, tenant, head, body)
-
-    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
-        reader, self.asked = self.reader, None
-        last = not reader.extra and (self.clients.leaving or not reader.lasts)
-        self.conn.send(http.answer(status, len(body), last, pause), body)
-        if reader.extra:
-            self.refuse(400)  # it did not wait for its answer
-        elif last:
-            self.part()
-        elif self.conn.open:
-            reader.reset()
-            self.clients.idle[self] = None
-            self.clients.trim()
+        raise NotImplementedError
 
     def refuse(self, status: int) -> None:
-        self.clients.unasked.pop(self, None)
-        if self.conn.open and not self.conn.closing:
-            self.conn.send(http.answer(status, last=True))
-            self.part()
+        """A plain word on why nothing more is taken from it: 408 for silence, 503 for no room."""
+        raise NotImplementedError
+
+    def hangup(self) -> None:
+        """It has gone: what it asked for is of no use any more."""
+        raise NotImplementedError
+
+    def opened(self) -> None:
+        pass
 
     def part(self) -> None:
         """It may still read its last answer, but keeps no other client out by that."""
@@ -133,8 +96,7 @@
 
     def ended(self, what: str) -> None:
         self.close()
-        if self.asked:
-            self.asked.hangup()
+        self.hangup()
 
     def close(self) -> None:
         self.conn.close()
@@ -145,12 +107,13 @@
 class Clients:
     """The listener and all that it has let in, `most` at a time."""
 
-    def __init__(self, loop: Loop, door: Door, most: int) -> None:
-        self.loop, self.door, self.most = loop, door, most
-        self.open: dict[Client, None] = {}
-        self.idle: dict[Client, None] = {}     # of these: served, and asking nothing; the longest first
-        self.unasked: dict[Client, None] = {}  # yet to bring a whole req; the longest first
-        self.parting: dict[Client, None] = {}  # with their last answer; the longest first
+    def __init__(self, loop: Loop, door: Door, most: int,
+                 make: Callable[[Clients, socket.socket], Caller]) -> None:
+        self.loop, self.door, self.most, self.make = loop, door, most, make
+        self.open: dict[Caller, None] = {}
+        self.idle: dict[Caller, None] = {}     # of these: served, and asking nothing; the longest first
+        self.unasked: dict[Caller, None] = {}  # yet to bring a whole req; the longest first
+        self.parting: dict[Caller, None] = {}  # with their last answer; the longest first
         self.listener: socket.socket | None = None
         self.resting: Timer | None = None
         self.leaving = False
@@ -188,22 +151,22 @@
 
     def let_in(self, sock: socket.socket) -> None:
         crowded = len(self.open) - len(self.parting) >= self.most and not self.shed()
-        client = Client(self, sock)
+        client = self.make(self, sock)
         self.open[client] = None
         if crowded:  # left in the backlog, what it asks would count as taken and never be answered
             return client.refuse(503)
         self.await_req(client)
         client.conn.ready(READ)  # what it asks has mostly come with it
 
-    def await_req(self, client: Client) -> None:
+    def await_req(self, client: Caller) -> None:
         client.since = self.loop.now
         self.unasked[client] = None
 
     def shed(self) -> bool:
         """Close a connection that nobody needs; whether there was one. Silence must not keep others out."""
-        gone = next(filter(Client.quiet, self.unasked), None)
+        gone = next(filter(Caller.quiet, self.unasked), None)
         if not gone or self.loop.now - gone.since < SETTLED:
-            gone = next(filter(Client.quiet, self.idle), None) or gone
+            gone = next(filter(Caller.quiet, self.idle), None) or gone
         if gone:
             gone.close()
         return gone is not None
@@ -228,7 +191,7 @@
     def sweep(self) -> None:
         """Nobody may begin and never end; one that said nothing at all is closed without a word."""
         while (client := next(iter(self.unasked), None)) and self.loop.now - client.since >= PATIENCE:
-            client.refuse(408) if client.reader.begun else client.close()
+            client.refuse(408) if client.begun else client.close()
         self.loop.later(SWEEP, self.sweep)
 
     def rest(self) -> None:
@@ -258,5 +221,5 @@
             listener.close()
         for client in [*self.idle, *self.unasked]:
             client.conn.ready(READ)  # a req that has come is still answered
-            if client in self.idle or client in self.unasked and not client.reader.begun:
+            if client in self.idle or client in self.unasked and not client.begun:
                 client.part() if client.conn.out else client.close()
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -6,16 +6,16 @@
 from collections.abc import Callable
 from functools import partial
 from hashlib import blake2b
-from typing import Any
+from typing import Any, Protocol
 
 from orchidgap.decisions.rules import Balancer
-from orchidgap.net.clients import Client, Clients
 from orchidgap.net.connection import Address, Fault, dial
-from orchidgap.net.hosts import Hosts, Trip
+from orchidgap.net.doorway import Answered, Clients
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop
-from orchidgap.net.registry import Entry, Registry
+from orchidgap.net.places import Entry, Place
 from orchidgap.net.start import Station
+from orchidgap.net.trip import Pools, Trip
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
 LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
@@ -42,7 +42,7 @@
 
     __slots__ = ("body", "client", "due", "head", "id", "name", "node", "over", "timer", "trips")
 
-    def __init__(self, node: Node, id: int, name: bytes, client: Client, head: bytes, body: bytes,
+    def __init__(self, node: Node, id: int, name: bytes, client: Answered, head: bytes, body: bytes,
                  due: int) -> None:
         self.node, self.id, self.client, self.head, self.body, self.due = node, id, client, head, body, due
         self.name = name  # its id with the client
@@ -84,11 +84,32 @@
         self.node.tidy(self)
 
 
+class Listing(Protocol):
+    """Who tells of the hosts."""
+
+    def ask(self) -> None:
+        """Fetch the list, unless that is under way."""
+
+    def move(self, address: Address) -> None: ...
+
+
+Dial = Callable[[Address], socket.socket | Fault]
+
+
+class Parts(Protocol):
+    """One protocol, as far as the node needs it: its door, its pools, and who tells of hosts."""
+
+    def clients(self, node: Node, most: int) -> Clients: ...
+
+    def hosts(self, node: Node, most: int, dial: Dial) -> Pools: ...
+
+    def listing(self, node: Node, dial: Dial) -> Listing: ...
+
+
 class Node:
     """The `ports.Port` of the decisions and the `clients.Door` of the clients."""
 
-    def __init__(self, loop: Loop, station: Station, log: Log,
-                 dial: Callable[[Address], socket.socket | Fault] = dial,
+    def __init__(self, loop: Loop, station: Station, log: Log, parts: Parts, dial: Dial = dial,
                  decider: Callable[..., Any] = Balancer) -> None:
         self.loop, self.note = loop, log
         self.station = station
@@ -98,10 +119,10 @@
         self.listed = False
         room = station.sockets - SPARE
         most = max(8, min(room // 2, (station.memory_mb - BASE_MB) * 1024 // HELD_KB))
-        self.clients = Clients(loop, self, most)
-        self.hosts = Hosts(loop, max(8, room - most), station.connect_within, station.idle_for, dial)
+        self.clients = parts.clients(self, most)
+        self.hosts = parts.hosts(self, max(8, room - most), dial)
         self.balancer: Balancer = decider(station.terms, self, station.seed, loop.now)  # or what has its face
-        self.registry = Registry(loop, station.discovery, self.balancer.rng, self.on_list, log, dial)
+        self.registry = parts.listing(self, dial)
 
     def start(self) -> None:
         _, _, entries, found = self.station.known
@@ -124,17 +145,17 @@
     def shed(self) -> bool:
         return self.hosts.shed()
 
-    def take(self, client: Client, id: bytes, rule_set: str, left: int, write: bool, key: bytes, tenant: str,
-             head: bytes, body: bytes) -> None:
+    def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
+             tenant: str, head: bytes, body: bytes, slot: int = -1) -> None:
         self.count += 1
         # the client counts from its send, which a loop that was held up learns late
-        due = client.conn.came + left - min(GUARD, left // 4)
-        exchange = client.asked = self.reqs[self.count] = Exchange(self, self.count, id, client, head, body,
-                                                                        due)
+        due = caller.conn.came + left - min(GUARD, left // 4)
+        exchange = caller.asked = self.reqs[self.count] = Exchange(
+            self, self.count, id, caller, head, body, due)
         self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
-                  number_of(key), tenant, exchange=exchange)
+                    number_of(key), tenant, *([slot] if slot >= 0 else ()), exchange=exchange)
 
-    def on_list(self, whole: bool, entries: list[Entry], found: list[tuple[str, str, Address]]) -> None:
+    def on_list(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
         self.hosts.follow(whole, found)
         self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
         self.listed = True
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -13,17 +13,17 @@
 from orchidgap.net import start
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ, Loop
-from orchidgap.net.node import Node
+from orchidgap.net.node import Node, Parts
 
 BIND_FOR = 10.0  # seconds: a forerunner that was killed may still hold the address
 
 
-def serve(path: str | None, decider: Callable[..., Any] = Balancer) -> None:
-    """Takes the configuration's path and what decides; ends when told to. Raises BadStart."""
+def serve(path: str | None, parts: Parts, decider: Callable[..., Any] = Balancer) -> None:
+    """Takes the configuration's path, what is spoken and what decides; ends when told to. Raises BadStart."""
     station = start.read(path)
     log = Log(station.name)
     loop = Loop(trouble=log.trouble)
-    node = Node(loop, station, log, decider=decider)
+    node = Node(loop, station, log, parts, decider=decider)
     bell = on_signal(loop, node, path)
     until = time.monotonic() + BIND_FOR
     while True:
@@ -35,7 +35,7 @@
                 raise start.BadStart(f"cannot listen on {station.listen}: {trouble.strerror}") from None
             time.sleep(0.05)
     node.start()
-    log("serving", listen=station.listen, hosts=len(node.hosts.pools), clients=node.clients.most,
+    log("serving", listen=station.listen, hosts=node.hosts.known(), clients=node.clients.most,
         links=node.hosts.most)
     loop.run()
     bell.close()
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -10,7 +10,7 @@
 
 from orchidgap.decisions.terms import MissingTerm, ServiceTerms
 from orchidgap.net.connection import Address
-from orchidgap.net.registry import Entry, address_of, decoded
+from orchidgap.net.places import Entry, Place, address_of, decoded
 
 
 class BadStart(Exception):
@@ -26,7 +26,7 @@
     seed: int
     sockets: int
     memory_mb: int
-    known: tuple[int, bool, list[Entry], list[tuple[str, str, Address]]]
+    known: tuple[int, bool, list[Entry], list[Place]]
     terms: ServiceTerms
     connect_within: int
     idle_for: int
--- /dev/null
+++ b/orchidgap/net/trip.py
@@ -0,0 +1,55 @@
+"""A dispatch on the network, whatever carries it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from orchidgap.net.connection import Address, Fault, Reach
+
+
+class Carrier(Protocol):
+    """A connection to a host that carries dispatches."""
+
+    def drop(self, trip: Trip) -> Reach:
+        """Carry it no further; how far it came."""
+
+
+class Pools(Protocol):
+    """The connections to all hosts, by the ids of these; `most` together."""
+
+    most: int
+
+    def follow(self, whole: bool, told: Iterable[tuple[str, str, Address]]) -> None:
+        """The list, or a change to it, as (id, state, address)."""
+
+    def send(self, id: str, trip: Trip) -> None: ...
+
+    def shed(self) -> bool:
+        """Close the connection that has been idle longest; whether there was one."""
+
+    def known(self) -> int:
+        """How many hosts."""
+
+
+class Trip:
+    """One dispatch on the network. Exactly one thing comes of it."""
+
+    __slots__ = ("asking", "back", "body", "due", "head", "link", "settled", "slot")
+
+    def __init__(self, head: bytes, body: bytes, due: int, back: Callable[[str, bytes], None]) -> None:
+        self.head, self.body, self.due, self.back = head, body, due, back
+        self.link: Carrier | None = None
+        self.settled = False
+        self.slot, self.asking = -1, False  # where slots are the hosts': its own, and whether it was sent on
+
+    def settle(self, verdict: str, body: bytes = b"") -> None:
+        if not self.settled:
+            self.settled = True
+            self.link = None
+            self.back(verdict, body)
+
+    def stop(self, cause: str) -> Fault:
+        """Give it up where it stands."""
+        link, self.link = self.link, None
+        return Fault(Reach.UNSENT if link is None else link.drop(self), cause)
--- /dev/null
+++ b/orchidgap/resp/__init__.py
@@ -0,0 +1,1 @@
+"""The cluster dialect of RESP, both sides of it."""
--- a/orchidgap/trial/callers.py
+++ b/orchidgap/trial/callers.py
@@ -8,7 +8,7 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
-from orchidgap.net import http
+from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Connection, Fault
 from orchidgap.trial.plan import micros, millis
 from orchidgap.trial.referee import Ask, Op
--- a/orchidgap/trial/listing.py
+++ b/orchidgap/trial/listing.py
@@ -8,7 +8,7 @@
 
 import orjson
 
-from orchidgap.net import http
+from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Address, Connection
 from orchidgap.trial.plan import micros
 
--- a/orchidgap/trial/process.py
+++ b/orchidgap/trial/process.py
@@ -4,6 +4,7 @@
 
 import sys
 
+from orchidgap.http1 import Http1
 from orchidgap.net.serve import serve
 from orchidgap.net.start import BadStart
 from orchidgap.trial.baselines import KINDS
@@ -12,7 +13,7 @@
 def main() -> None:
     name, config = sys.argv[1], sys.argv[2].partition("=")[2]
     try:
-        serve(config, KINDS[name])
+        serve(config, Http1(), KINDS[name])
     except BadStart as trouble:
         sys.exit(f"orchidgap: {trouble}")
 
--- a/orchidgap/trial/referee.py
+++ b/orchidgap/trial/referee.py
@@ -253,8 +253,8 @@
             )
 
     def fell(self, host: str, part: float, is_origin: bool, at: int) -> None:
-        """`part` of what pushed it over came from balancers that were told of its start or, at the origin, from
-        misses at cold hosts."""
+        """`part` of what pushed it over came from balancers that were told of its start or, at the origin,
+        from misses at cold hosts."""
         self.event(at, f"{host} pushed over, {part:.0%} of it knowingly")
         if not is_origin:
             if part >= TOLD_PART:
--- a/orchidgap/trial/saturate.py
+++ b/orchidgap/trial/saturate.py
@@ -24,7 +24,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from orchidgap.net import http
+from orchidgap.http1 import Http1
+from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Address, Connection, Fault, dial
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.serve import serve
@@ -231,9 +232,9 @@
 
 def run_front(kind: str, path: str) -> None:
     if kind == "balancer":
-        return serve(path)
+        return serve(path, Http1())
     if kind == "relay":
-        return serve(path, Relay)
+        return serve(path, Http1(), Relay)
     loop = Loop()
     Listening(loop, FRONT, Passing)
     loop.run()
--- a/orchidgap/trial/scene.py
+++ b/orchidgap/trial/scene.py
@@ -20,6 +20,7 @@
 from typing import Any, Protocol, cast
 
 from orchidgap.decisions.rules import SPACE
+from orchidgap.http1 import Http1
 from orchidgap.net import start
 from orchidgap.net.connection import Address
 from orchidgap.net.log import Log
@@ -107,6 +108,7 @@
             share,
             start.station(told),
             self.log,
+            Http1(),
             lambda address: ground.dial_from(share, self.name, address),
             self.decider,
         )
--- a/orchidgap/trial/stores.py
+++ b/orchidgap/trial/stores.py
@@ -6,7 +6,7 @@
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
 
-from orchidgap.net import http
+from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Address, Connection
 from orchidgap.net.loop import Timer
 from orchidgap.trial.plan import Model, micros, millis
@@ -176,8 +176,9 @@
         referee, ask = self.scene.referee, job.arrival.ask
         blamed = job.cold if self.is_origin else referee.starts.get(
             (ask.balancer, self.id), 0) >= self.born // 1000
-        self.load.append((now, job.cost, blamed))
-        self.loaded += job.cost
+        cost = job.cost if self.is_origin or ask.op.key in self.kept else GLANCE
+        self.load.append((now, cost, blamed))
+        self.loaded += cost
         while self.load[0][0] < now - micros(self.model.fall_s):
             self.loaded -= self.load.popleft()[1]
         most = self.model.fall_multiple * self.capacity() * self.model.fall_s + CHANCE
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -12,11 +12,11 @@
 
 from orchidgap.net import start
 from orchidgap.net.connection import Fault, Reach
-from orchidgap.net.hosts import Trip
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ
-from orchidgap.net.registry import decoded
+from orchidgap.net.places import decoded
 from orchidgap.net.serve import on_signal
+from orchidgap.net.trip import Trip
 
 LIST = "/discovery/hosts"
 
--- a/tests/trial/planted.py
+++ b/tests/trial/planted.py
@@ -1,8 +1,8 @@
 """Balancers with one defect each, planted on purpose, and the days on which it shows."""
 
 from orchidgap.decisions.rules import FELL, Balancer, Dispatch, Origin, Placement
-from orchidgap.net import http
-from orchidgap.net.hosts import Trip
+from orchidgap.http1 import codec as http
+from orchidgap.net.trip import Trip
 
 
 class Defect(Balancer):
@@ -251,6 +251,7 @@
     "seconds": 14.0,
     "caches": 2,
     "rate": 60.0,
+    "keys": {"count": 60},
     "cache": {"cold-from": 0.05, "warm-s": 12, "cores": 1, "queue": 200},
     "origin": {"cores": 8, "uneven": 0.0, "queue": 400},
     "ceilings": {"dispatches": 3},
--- a/tests/trial/test_ground.py
+++ b/tests/trial/test_ground.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from orchidgap.net import http
+from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Connection, Fault
 from orchidgap.net.loop import READ
 from orchidgap.trial.baselines import NAMES
