--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -56,6 +56,8 @@
             body = codec.error("ERR given up, it may have run")
         elif status not in (200, 400):
             body = codec.error(f"ERR {status}")
+        elif self.caller.resp3:
+            body = for_resp3(body)
         self.put(body)
 
     def put(self, body: bytes) -> None:
@@ -119,6 +121,19 @@
     return items
 
 
+def for_resp3(text: bytes) -> bytes:
+    """An answer of a server that speaks RESP2, for a client that speaks RESP3: there a null has one form only.
+
+    >>> for_resp3(b"$-1\\r\\n"), for_resp3(b"*2\\r\\n$-1\\r\\n$5\\r\\n$-1\\r\\n\\r\\n")
+    (b'_\\r\\n', b'*2\\r\\n_\\r\\n$5\\r\\n$-1\\r\\n\\r\\n')
+    """
+    if text in (b"$-1\r\n", b"*-1\r\n"):
+        return b"_\r\n"
+    if text[:1] == b"*" and b"-1\r\n" in text:
+        return codec.array([for_resp3(item) for item in split_array(text)])
+    return text
+
+
 class RespCaller(Caller):
     """One connection from a client."""
 
@@ -478,6 +493,8 @@
             b":%d\r\n" % command.first,
             b":%d\r\n" % command.last,
             b":%d\r\n" % command.step,
+            *[codec.array([])]
+            * 4,  # categories, tips, key specifications, subcommands: clients count on them
         ]
     )
 
--- /dev/null
+++ b/tests/resp/test_client.py
@@ -0,0 +1,109 @@
+"""A well-known client library does its usual commands against the program as a process, plain and as a cluster."""
+
+import json
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+import redis
+from redis.cluster import RedisCluster
+from town import RULES, Server
+
+from orchidgap.resp import codec
+from orchidgap.trial.fabric import Wires
+
+ROOT = Path(__file__).parents[2]
+
+
+class Wired:
+    """Three stand-in slot servers on loopback, on a loop of their own."""
+
+    def __init__(self):
+        self.ground = Wires()
+        self.servers = [Server(self, number) for number in (201, 202, 203)]
+        self.running = True
+        self.thread = threading.Thread(target=self.run, daemon=True)
+        self.thread.start()
+
+    def run(self):
+        while self.running:
+            self.ground.loop.turn(20_000)
+
+    def slots(self):
+        return codec.array(
+            [
+                codec.array(
+                    [
+                        b":%d\r\n" % (16384 * i // 3),
+                        b":%d\r\n" % (16384 * (i + 1) // 3 - 1),
+                        codec.array(
+                            [codec.bulk(server.address[0].encode()), b":7000\r\n", codec.bulk(b"id%d" % i)]
+                        ),
+                    ]
+                )
+                for i, server in enumerate(self.servers)
+            ]
+        )
+
+
+@pytest.fixture
+def address(tmp_path):
+    town = Wired()
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    (tmp_path / "n.json").write_text(
+        json.dumps(
+            {
+                "name": "n0",
+                "listen": f"127.0.0.1:{port}",
+                "seed": "7",
+                "settings": {"rule-sets": RULES},
+                "resp": {"seeds": [server.name for server in town.servers]},
+            }
+        )
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "orchidgap", "serve", f"--config={tmp_path / 'n.json'}"],
+        cwd=ROOT,
+        stderr=subprocess.DEVNULL,
+    )
+    for _ in range(200):
+        try:
+            socket.create_connection(("127.0.0.1", port), 0.2).close()
+            break
+        except OSError:
+            time.sleep(0.05)
+    yield "127.0.0.1", port
+    process.terminate()
+    assert process.wait(10) == 0
+    town.running = False
+    town.thread.join()
+    for server in town.servers:
+        town.ground.unlisten(server.address)
+
+
+@pytest.mark.parametrize("kind", [redis.Redis, RedisCluster])
+@pytest.mark.parametrize("protocol", [2, 3])
+def test_the_usual_commands(address, kind, protocol):
+    client = kind(host=address[0], port=address[1], protocol=protocol, socket_timeout=2)
+    assert client.ping()
+    assert client.set("a", "1") and client.get("a") == b"1" and client.get("none") is None
+    assert client.incr("n") == 1 and client.incr("n") == 2
+    assert client.delete("a") == 1 and client.get("a") is None
+    with client.pipeline(transaction=False) as pipe:
+        for i in range(50):
+            pipe.set(f"k{i}", i)
+        for i in range(50):
+            pipe.get(f"k{i}")
+        said = pipe.execute()
+    assert said[:50] == [True] * 50 and said[50:] == [b"%d" % i for i in range(50)]
+    if kind is redis.Redis:
+        assert client.mget("k1", "none", "k2") == [b"1", None, b"2"]
+        with pytest.raises(redis.ResponseError):
+            client.execute_command("MULTI")
+    client.close()
--- a/tests/resp/test_resp.py
+++ b/tests/resp/test_resp.py
@@ -40,7 +40,7 @@
         ((b"CLUSTER", b"NODES"), b"$"),
         ((b"COMMAND", b"COUNT"), b":"),
         ((b"COMMAND", b"GETKEYS", b"MSET", b"a", b"1", b"b", b"2"), b"*2\r\n$1\r\na"),
-        ((b"COMMAND", b"INFO", b"get"), b"*1\r\n*6\r\n"),
+        ((b"COMMAND", b"INFO", b"get"), b"*1\r\n*10\r\n"),
         ((b"READONLY",), b"+OK\r\n"),
         ((b"INFO",), b"$"),
         ((b"HELLO", b"3"), b"%7\r\n"),
--- a/tests/resp/town.py
+++ b/tests/resp/town.py
@@ -52,8 +52,9 @@
             return codec.array([codec.bulk(self.data.get(key)) for key in words[1:]])
         if name == b"DEL":
             return b":%d\r\n" % sum(self.data.pop(key, None) is not None for key in words[1:])
-        if name == b"INCR":
-            self.data[words[1]] = b"%d" % (int(self.data.get(words[1], 0)) + 1)
+        if name in (b"INCR", b"INCRBY"):
+            by = int(words[2]) if len(words) > 2 else 1
+            self.data[words[1]] = b"%d" % (int(self.data.get(words[1], 0)) + by)
             return b":%b\r\n" % self.data[words[1]]
         return b"-ERR unknown command\r\n"
 
