--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -122,7 +122,7 @@
 
 
 def for_resp3(text: bytes) -> bytes:
-    """An answer of a server that speaks RESP2, for a client that speaks RESP3: there a null has one form only.
+    """An answer of a server that speaks RESP2, for a client that speaks RESP3: there a null has one form.
 
     >>> for_resp3(b"$-1\\r\\n"), for_resp3(b"*2\\r\\n$-1\\r\\n$5\\r\\n$-1\\r\\n\\r\\n")
     (b'_\\r\\n', b'*2\\r\\n_\\r\\n$5\\r\\n$-1\\r\\n\\r\\n')
