One set of pools for both protocols; RESP parts say each thing once

Cause: a re-read of the change. The pools of RESP had written those of HTTP again, the codec looked twice for the end of an item, the mapper decoded the secret and the seeds anew, trials and command line each chose the protocol. Change: net/pools.py holds what both share, with it RESP too lets an idle link go where the system has no descriptor left; Reader.whole, Answer.hangup and one partial for what a command asks; orchidgap/parts.py. No rule, bound or test changed.

--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -44,26 +44,13 @@
 from docopt import docopt
 
 from orchidgap import VERSION
-from orchidgap.http1 import Http1
 from orchidgap.net import start
-from orchidgap.net.node import Parts
 from orchidgap.net.serve import serve
+from orchidgap.parts import parts_of
 
 TRIALS = ("try", "trial", "compare", "hunt", "saturate", "report")
 
 
-def parts_of(station: start.Station) -> Parts:
-    """What the program speaks: RESP where the configuration has a part for it, else HTTP. Raises BadStart."""
-    if station.resp is None:
-        return Http1()
-    from orchidgap.resp import Resp
-
-    try:
-        return Resp(station.resp, station.name, station.listen)
-    except (ValueError, TypeError, OSError) as trouble:
-        raise start.BadStart(f"resp: {trouble}") from None
-
-
 def main() -> None:
     told = docopt(__doc__ or "")
     if told["version"]:
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -4,9 +4,10 @@
 
 import socket
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from orchidgap.http1.codec import MOST_ANSWER, AnswerReader
+from orchidgap.net import pools
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken, dial
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.trip import Trip
@@ -103,14 +104,14 @@
     return {200: "done", 404: "miss"}.get(status, "error")
 
 
-class Pool:
-    """The connections to one host."""
+class Pool(pools.Pool[Link]):
+    """The connections to one host, one dispatch at a time on each."""
+
+    hosts: Hosts
 
     def __init__(self, hosts: Hosts, address: Address) -> None:
-        self.hosts, self.address = hosts, address
-        self.links: dict[Link, None] = {}
+        super().__init__(hosts, address)
         self.idle: deque[Link] = deque()  # the newest last
-        self.retired = False              # draining or gone: what is under way may end, nothing else
 
     def send(self, trip: Trip) -> None:
         while self.idle:
@@ -129,8 +130,7 @@
         came = self.hosts.dial(self.address)
         if isinstance(came, Fault):
             return self.hosts.loop.soon(trip.settle, came.verdict)
-        self.links[Link(self, came, trip)] = None
-        self.hosts.count += 1
+        self.add(Link(self, came, trip))
 
     def rest(self, link: Link) -> None:
         if self.retired:
@@ -139,79 +139,33 @@
         self.idle.append(link)
 
     def forget(self, link: Link) -> None:
-        if link in self.links:
-            del self.links[link]
-            self.hosts.count -= 1
-            if link in self.idle:
-                self.idle.remove(link)
+        super().forget(link)
+        if link in self.idle:
+            self.idle.remove(link)
 
     def retire(self) -> None:
-        """Nothing new is written: a dispatch that is still connecting ends unsent."""
         self.retired = True
         for link in list(self.links):
             if link.trip is None or link.conn.opening:
                 link.ended("host drains")
 
 
-class Hosts:
-    """All pools, by the id of their host; `most` connections together."""
-
+class Hosts(pools.Pools[Pool]):
     def __init__(self, loop: Loop, most: int, connect_within: int, idle_for: int,
                  dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
-        self.loop, self.most, self.connect_within, self.idle_for = loop, most, connect_within, idle_for
-        self.dialer = dial
-        self.pools: dict[str, Pool] = {}
-        self.count = 0
-        loop.later(SWEEP, self.sweep)
-
-    def follow(self, whole: bool, told: Iterable[tuple[str, str, Address]]) -> None:
-        """The list, or a change to it, as (id, state, address)."""
-        gone = set(self.pools) if whole else set()
-        for id, state, address in told:
-            gone.discard(id)
-            pool = self.pools.get(id)
-            if pool and (state == "gone" or pool.address != address):
-                self.pools.pop(id).retire()
-                pool = None
-            if state == "gone":
-                continue
-            if pool is None:
-                pool = self.pools[id] = Pool(self, address)
-            if state == "up":
-                pool.retired = False
-            else:
-                pool.retire()
-        for id in sorted(gone):
-            self.pools.pop(id).retire()
-
-    def send(self, id: str, trip: Trip) -> None:
-        pool = self.pools.get(id)
-        if pool is None or pool.retired:
-            return self.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
-        pool.send(trip)
-
-    def dial(self, address: Address) -> socket.socket | Fault:
-        """Idle connections make way where descriptors run short."""
-        while self.count >= self.most:
-            if not self.shed():
-                return Fault(Reach.UNSENT, "short", "all connections in use")
-        came = self.dialer(address)
-        if isinstance(came, Fault) and came.cause == "short" and self.shed():
-            came = self.dialer(address)
-        return came
+        super().__init__(loop, most, connect_within, SWEEP, dial)
+        self.idle_for = idle_for
+
+    def make(self, address: Address) -> Pool:
+        return Pool(self, address)
 
     def shed(self) -> bool:
-        """Close the connection that has been idle longest; whether there was one."""
         idle = [pool.idle[0] for pool in self.pools.values() if pool.idle]
         if idle:
             min(idle, key=lambda link: link.idle_since).close()
         return bool(idle)
 
-    def known(self) -> int:
-        return len(self.pools)
-
     def sweep(self) -> None:
         for pool in self.pools.values():
             while pool.idle and pool.worn(pool.idle[0]):
                 pool.idle[0].close()
-        self.loop.later(SWEEP, self.sweep)
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -14,8 +14,9 @@
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop
 from orchidgap.net.places import Entry, Place
+from orchidgap.net.pools import Pools
 from orchidgap.net.start import Station
-from orchidgap.net.trip import Pools, Trip
+from orchidgap.net.trip import Trip
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
 LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
@@ -105,7 +106,7 @@
 
     def clients(self, node: Node, most: int) -> Clients: ...
 
-    def hosts(self, node: Node, most: int, dial: Dial) -> Pools: ...
+    def hosts(self, node: Node, most: int, dial: Dial) -> Pools[Any]: ...
 
     def listing(self, node: Node, dial: Dial) -> Listing: ...
 
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -36,7 +36,7 @@
                 raise start.BadStart(f"cannot listen on {station.listen}: {trouble.strerror}") from None
             time.sleep(0.05)
     node.start()
-    log("serving", listen=station.listen, hosts=node.hosts.known(), clients=node.clients.most,
+    log("serving", listen=station.listen, hosts=len(node.hosts.pools), clients=node.clients.most,
         links=node.hosts.most)
     loop.run()
     bell.close()
--- a/orchidgap/net/trip.py
+++ b/orchidgap/net/trip.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Protocol
 
-from orchidgap.net.connection import Address, Fault, Reach
+from orchidgap.net.connection import Fault, Reach
 
 
 class Carrier(Protocol):
@@ -15,23 +15,6 @@
         """Carry it no further; how far it came."""
 
 
-class Pools(Protocol):
-    """The connections to all hosts, by the ids of these; `most` together."""
-
-    most: int
-
-    def follow(self, whole: bool, told: Iterable[tuple[str, str, Address]]) -> None:
-        """The list, or a change to it, as (id, state, address)."""
-
-    def send(self, id: str, trip: Trip) -> None: ...
-
-    def shed(self) -> bool:
-        """Close the connection that has been idle longest; whether there was one."""
-
-    def known(self) -> int:
-        """How many hosts."""
-
-
 class Trip:
     """One dispatch on the network. Exactly one thing comes of it."""
 
--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -84,7 +84,7 @@
 
     def listing(self, node: Node, dial: Dial) -> Mapper:
         node.balancer.owners = Map(node.balancer.rng, node.loop.now)
-        self.mapper = Mapper(node, node.balancer.owners, self.seeds, dial)
+        self.mapper = Mapper(node, node.balancer.owners, self.seeds, self.secret, dial)
         return self.mapper
 
     def redirected(self, to: Redirect) -> None:
--- a/orchidgap/resp/codec.py
+++ b/orchidgap/resp/codec.py
@@ -70,32 +70,33 @@
             self.at = 0
         self.kept += view
 
-    def raw(self) -> bytes | None:
-        """The next item's bytes as they came; None where it is not whole, or nothing can be read any more."""
+    def whole(self) -> int:
+        """Where the next item ends; 0 where it is not whole, or nothing can be read any more."""
         if self.broken or len(self.kept) - self.at < max(1, self.need):
-            return None
+            return 0
         end = span(self.kept, self.at, self.most)
         if isinstance(end, Broken):
             self.broken = end.what
-            return None
+            return 0
         if isinstance(end, More):
             self.need = end.need
+            return 0
+        return end
+
+    def raw(self) -> bytes | None:
+        """The next item's bytes as they came; None where it is not whole, or nothing can be read any more."""
+        end = self.whole()
+        if not end:
             return None
         item, self.at, self.need = bytes(memoryview(self.kept)[self.at : end]), end, 0
         return item
 
     def command(self) -> list[bytes] | None:
         """The next command's words; an empty list for an empty line. Inline commands are a line of words."""
-        if self.broken or len(self.kept) - self.at < max(1, self.need):
-            return None
-        if self.kept[self.at] != ord("*"):
+        if not self.broken and self.waiting() and self.kept[self.at] != ord("*"):
             return self.inline()
-        end = span(self.kept, self.at, self.most)
-        if isinstance(end, Broken):
-            self.broken = end.what
-            return None
-        if isinstance(end, More):
-            self.need = end.need
+        end = self.whole()
+        if not end:
             return None
         words = words_of(self.kept, self.at)
         if words is None:
@@ -109,10 +110,9 @@
         if end < 0:
             if len(self.kept) - self.at >= MOST_LINE:
                 self.broken = "too big inline request"
-            self.need = 0
             return None
         line = bytes(memoryview(self.kept)[self.at : end])
-        self.at, self.need = end + 1, 0
+        self.at = end + 1
         return line.split()
 
     def waiting(self) -> int:
@@ -120,7 +120,7 @@
         return len(self.kept) - self.at
 
 
-def line_end(data: bytearray, at: int, most: int) -> int | More | Broken:
+def line_end(data: bytearray, at: int) -> int | More | Broken:
     """Where the line at `at` ends, before its CRLF."""
     end = data.find(CRLF, at, at + MOST_LINE)
     if end >= 0:
@@ -137,7 +137,7 @@
         if at >= len(data):
             return More(at - start + 1)
         kind = data[at]
-        end = line_end(data, at + 1, most)
+        end = line_end(data, at + 1)
         if not isinstance(end, int):
             return end
         left[-1] -= 1
--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -6,6 +6,8 @@
 import socket
 from binascii import crc_hqx
 from collections import deque
+from collections.abc import Callable
+from functools import partial
 from hashlib import sha256
 from typing import TYPE_CHECKING
 
@@ -36,15 +38,15 @@
 class Answer:
     """The place of one command in the order of answers; what the decisions answer comes here."""
 
-    __slots__ = ("after", "asked", "bytes", "caller", "came", "part", "slot", "whole", "write")
+    __slots__ = ("after", "asked", "bytes", "caller", "came", "slot", "whole", "write")
 
-    def __init__(self, caller: RespCaller, whole: Joined | None = None, part: int = 0) -> None:
-        self.caller, self.whole, self.part = caller, whole, part
+    def __init__(self, caller: RespCaller, whole: Joined | None = None) -> None:
+        self.caller, self.whole = caller, whole
         self.asked: Asked | None = None
         self.bytes: bytes | None = None
         self.came = caller.conn.came
         self.slot, self.write = -1, False
-        self.after: tuple[bytes, str, int, bytes, bytes] | None = None  # what it asks once it may
+        self.after: Callable[[], None] | None = None  # asks, once it may
 
     def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
         """The outcome codes that all protocols share, as RESP words them."""
@@ -60,6 +62,10 @@
             body = for_resp3(body)
         self.put(body)
 
+    def hangup(self) -> None:
+        if self.asked:
+            self.asked.hangup()
+
     def put(self, body: bytes) -> None:
         self.bytes = body
         if self.slot >= 0:
@@ -100,8 +106,7 @@
 
     def hangup(self) -> None:
         for part in self.parts:
-            if part.asked:
-                part.asked.hangup()
+            part.hangup()
 
 
 def split_array(text: bytes) -> list[bytes]:
@@ -184,10 +189,7 @@
     def hangup(self) -> None:
         waiting, self.waiting, self.busy = list(self.waiting), deque(), {}
         for answer in waiting:
-            if isinstance(answer, Joined):
-                answer.hangup()
-            elif answer.asked:
-                answer.asked.hangup()
+            answer.hangup()
 
     def quiet(self) -> bool:
         return not self.waiting and super().quiet()
@@ -279,7 +281,7 @@
         joined = Joined(self, command.split)
         self.waiting[-1] = joined
         joined.places = list(by_slot.values())
-        joined.parts = [Answer(self, joined, part) for part in range(len(by_slot))]
+        joined.parts = [Answer(self, joined) for _ in by_slot]
         for part, (slot, places) in zip(joined.parts, by_slot.items()):
             few = [words[0], *(asked[place] for place in places)]
             self.ask(part, command, few, few[1], slot)
@@ -288,24 +290,21 @@
         self.count += 1
         rule_set, left = self.parts.terms_of(command)
         answer.slot, answer.write = slot, command.write
-        answer.after = (b"%d-%d" % (self.number, self.count), rule_set, left, key, codec.command(*words))
+        id = b"%d-%d" % (self.number, self.count)
+        answer.after = partial(
+            self.clients.door.take, answer, id, rule_set, left, command.write, key, self.tenant,
+            codec.command(*words), b"", slot)
         line = self.busy.setdefault(slot, [])
         line.append(answer)
-        if self.may_go(line, answer):
-            self.go(answer)
+        self.go_if_may(line, answer)
 
     @staticmethod
-    def may_go(line: list[Answer], answer: Answer) -> bool:
+    def go_if_may(line: list[Answer], answer: Answer) -> None:
         """Commands of one connection for one slot act in their order: only reads may be out together."""
         before = line[: line.index(answer)]
-        return not before or not answer.write and not any(other.write for other in before)
-
-    def go(self, answer: Answer) -> None:
-        id, rule_set, left, key, message = answer.after or (b"", "", 0, b"", b"")
-        answer.after = None
-        self.clients.door.take(
-            answer, id, rule_set, left, answer.write, key, self.tenant, message, b"", answer.slot
-        )
+        if answer.after and (not before or not answer.write and not any(other.write for other in before)):
+            act, answer.after = answer.after, None
+            act()
 
     def done(self, answer: Answer) -> None:
         """The next commands for its slot may go, once this call is over."""
@@ -319,8 +318,8 @@
 
     def release(self, slot: int) -> None:
         for answer in list(self.busy.get(slot, ())):
-            if answer.after and self.conn.open and self.may_go(self.busy.get(slot, []), answer):
-                self.go(answer)
+            if self.conn.open and answer in self.busy.get(slot, ()):
+                self.go_if_may(self.busy[slot], answer)
 
     # --- what needs no host
 
@@ -483,6 +482,10 @@
         return OK
 
 
+# categories, tips, key specifications, subcommands: clients count on them
+EMPTY = (codec.array([]),) * 4
+
+
 def entry_of(command: Command) -> bytes:
     flags = codec.array([b"+write\r\n" if command.write else b"+readonly\r\n"])
     return codec.array(
@@ -493,8 +496,7 @@
             b":%d\r\n" % command.first,
             b":%d\r\n" % command.last,
             b":%d\r\n" % command.step,
-            *[codec.array([])]
-            * 4,  # categories, tips, key specifications, subcommands: clients count on them
+            *EMPTY,
         ]
     )
 
--- a/orchidgap/resp/mapper.py
+++ b/orchidgap/resp/mapper.py
@@ -64,9 +64,11 @@
 class Mapper:
     """The `Listing` of a node before slot servers."""
 
-    def __init__(self, node: Node, slots: Map, seeds: list[Address], dial: Dial) -> None:
-        self.node, self.slots, self.seeds, self.dial, self.loop = node, slots, seeds, dial, node.loop
-        self.nodes: dict[str, Address] = {f"{host}:{port}": (host, port) for host, port in seeds}
+    def __init__(self, node: Node, slots: Map, seeds: list[Address], secret: tuple[bytes, ...],
+                 dial: Dial) -> None:
+        self.node, self.slots, self.secret, self.dial, self.loop = node, slots, secret, dial, node.loop
+        self.seeds = {text_of(address): address for address in seeds}
+        self.nodes = dict(self.seeds)
         self.states: dict[Address, str] = {}  # what discovery says, where there is one
         self.told: dict[str, str] = {}  # what the decisions were told last
         self.turn = 0
@@ -142,9 +144,8 @@
             self.reader = codec.Reader(MOST_MAP)
             self.conn = Connection(self.loop, came, self, opening=True)
             self.timer = self.loop.later(WITHIN, self.ended, "silence")
-            secret = self.node.station.resp.get("secret") if self.node.station.resp else None
-            if secret:
-                self.conn.send(codec.command(b"AUTH", *(str(word).encode() for word in secret)))
+            if self.secret:
+                self.conn.send(codec.command(b"AUTH", *self.secret))
             self.conn.send(ASK)
 
     def opened(self) -> None:
@@ -169,19 +170,11 @@
         holes, failed = self.slots.holes(), self.slots.failures
         self.drop()
         self.slots.learn(ranges, self.loop.now)
-        kept = {
-            f"{host}:{port}": (host, port)
-            for host, port in self.seeds
-            if self.states.get((host, port)) == "up"
-        }
+        kept = {name: address for name, address in self.seeds.items() if self.states.get(address) == "up"}
         self.nodes = {name: address_of(name) for name in names} | kept
-        if (self.slots.holes(), 0) != (holes, failed) or self.slots.clashes:
-            self.node.note(
-                "slots",
-                owners=len({entry.owner for entry in ranges}),
-                holes=self.slots.holes(),
-                clashes=self.slots.clashes,
-            )
+        if (left := self.slots.holes()) != holes or failed or self.slots.clashes:
+            owners = len({entry.owner for entry in ranges})
+            self.node.note("slots", owners=owners, holes=left, clashes=self.slots.clashes)
         self.tell()
         self.node.decide(self.node.balancer.pump)
 
@@ -189,7 +182,7 @@
         self.drop()
         self.slots.lost(self.loop.now)
         if not any(name in self.nodes for name in self.told):
-            self.nodes |= {f"{host}:{port}": (host, port) for host, port in self.seeds}
+            self.nodes |= self.seeds
 
     def drop(self) -> None:
         if self.timer:
--- a/orchidgap/resp/upstream.py
+++ b/orchidgap/resp/upstream.py
@@ -4,9 +4,10 @@
 
 import socket
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
+from orchidgap.net import pools
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import address_of, text_of
@@ -93,9 +94,8 @@
         for due in self.dues:
             if due.trip is trip:
                 due.trip = None
-                reach = self.reach(due)
                 # what waits to be written goes out all the same, so it may yet run
-                return Reach.UNSENT if self.conn.opening and self.forget(due) else max(reach, Reach.WHOLE)
+                return Reach.UNSENT if self.conn.opening and self.forget(due) else Reach.WHOLE
         return Reach.WHOLE
 
     def forget(self, due: Due) -> bool:
@@ -165,13 +165,10 @@
         self.pool.forget(self)
 
 
-class Pool:
-    """The links to one host."""
+class Pool(pools.Pool[Link]):
+    """The links to one host, many commands on each."""
 
-    def __init__(self, hosts: Hosts, address: Address) -> None:
-        self.hosts, self.address = hosts, address
-        self.links: dict[Link, None] = {}
-        self.retired = False
+    hosts: Hosts
 
     def send(self, trip: Trip) -> None:
         link = min(self.links, key=lambda at: len(at.dues), default=None)
@@ -182,26 +179,19 @@
                     return self.hosts.loop.soon(trip.settle, came.verdict)
             else:
                 link = Link(self, came)
-                self.links[link] = None
-                self.hosts.count += 1
+                self.add(link)
         assert link
         link.carry(trip)
 
-    def forget(self, link: Link) -> None:
-        if link in self.links:
-            del self.links[link]
-            self.hosts.count -= 1
-
     def retire(self) -> None:
-        """Nothing new is written: what is under way may end, and what is still connecting ends unsent."""
         self.retired = True
         for link in list(self.links):
             if not link.dues or link.conn.opening:
                 link.ended("host drains")
 
 
-class Hosts:
-    """All pools, by the id of their host, which is its address as text."""
+class Hosts(pools.Pools[Pool]):
+    """The id of a host is its address as text."""
 
     def __init__(
         self,
@@ -213,41 +203,11 @@
         redirected: Callable[[Redirect], None],
         doubted: Callable[[], None],
     ) -> None:
-        self.loop, self.most, self.connect_within, self.secret = loop, most, connect_within, secret
-        self.dialer, self.redirected, self.doubted = dial, redirected, doubted
-        self.pools: dict[str, Pool] = {}
-        self.count = 0
-        loop.later(SWEEP, self.sweep)
-
-    def follow(self, whole: bool, told: Iterable[tuple[str, str, Address]]) -> None:
-        gone = set(self.pools) if whole else set()
-        for id, state, address in told:
-            gone.discard(id)
-            pool = self.pools.get(id)
-            if pool and (state == "gone" or pool.address != address):
-                self.pools.pop(id).retire()
-                pool = None
-            if state == "gone":
-                continue
-            if pool is None:
-                pool = self.pools[id] = Pool(self, address)
-            if state == "up":
-                pool.retired = False
-            else:
-                pool.retire()
-        for id in sorted(gone):
-            self.pools.pop(id).retire()
+        super().__init__(loop, most, connect_within, SWEEP, dial)
+        self.secret, self.redirected, self.doubted = secret, redirected, doubted
 
-    def send(self, id: str, trip: Trip) -> None:
-        pool = self.pools.get(id)
-        if pool is None or pool.retired:
-            return self.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
-        pool.send(trip)
-
-    def dial(self, address: Address) -> socket.socket | Fault:
-        if self.count >= self.most and not self.shed():
-            return Fault(Reach.UNSENT, "short", "all connections in use")
-        return self.dialer(address)
+    def make(self, address: Address) -> Pool:
+        return Pool(self, address)
 
     def shed(self) -> bool:
         idle = [link for pool in self.pools.values() for link in pool.links if not link.dues]
@@ -255,12 +215,8 @@
             min(idle, key=lambda link: link.heard_at).close()
         return bool(idle)
 
-    def known(self) -> int:
-        return len(self.pools)
-
     def sweep(self) -> None:
         for pool in list(self.pools.values()):
             for link in list(pool.links):
                 if link.dues and not link.conn.opening and self.loop.now - link.heard_at > STUCK:
                     link.ended("silence")
-        self.loop.later(SWEEP, self.sweep)
--- a/orchidgap/trial/process.py
+++ b/orchidgap/trial/process.py
@@ -4,16 +4,16 @@
 
 import sys
 
-from orchidgap.http1 import Http1
 from orchidgap.net.serve import serve
 from orchidgap.net.start import BadStart
+from orchidgap.parts import parts_of
 from orchidgap.trial.baselines import KINDS
 
 
 def main() -> None:
     name, config = sys.argv[1], sys.argv[2].partition("=")[2]
     try:
-        serve(config, lambda station: Http1(), KINDS[name])
+        serve(config, parts_of, KINDS[name])
     except BadStart as trouble:
         sys.exit(f"orchidgap: {trouble}")
 
--- a/orchidgap/trial/saturate.py
+++ b/orchidgap/trial/saturate.py
@@ -24,12 +24,12 @@
 from rich.console import Console
 from rich.table import Table
 
-from orchidgap.http1 import Http1
 from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Address, Connection, Fault, dial
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.places import text_of
 from orchidgap.net.serve import serve
+from orchidgap.parts import parts_of
 
 HOSTS = 3
 CONNECTIONS = 64
@@ -232,9 +232,9 @@
 
 def run_front(kind: str, path: str) -> None:
     if kind == "balancer":
-        return serve(path, lambda station: Http1())
+        return serve(path, parts_of)
     if kind == "relay":
-        return serve(path, lambda station: Http1(), Relay)
+        return serve(path, parts_of, Relay)
     loop = Loop()
     Listening(loop, FRONT, Passing)
     loop.run()
--- a/orchidgap/trial/scene.py
+++ b/orchidgap/trial/scene.py
@@ -20,14 +20,13 @@
 from typing import Any, Protocol, cast
 
 from orchidgap.decisions.rules import SPACE
-from orchidgap.http1 import Http1
 from orchidgap.net import start
 from orchidgap.net.connection import Address
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop
-from orchidgap.net.node import Node, Parts, number_of
+from orchidgap.net.node import Node, number_of
 from orchidgap.net.places import text_of
-from orchidgap.resp import Resp
+from orchidgap.parts import parts_of
 from orchidgap.trial.baselines import decider as decider_of
 from orchidgap.trial.callers import Callers
 from orchidgap.trial.fabric import Pairs, Queue, Share, Wires
@@ -501,11 +500,6 @@
             self.folder.cleanup()
 
 
-def parts_of(station: start.Station) -> Parts:
-    """What is spoken there, as the command line would choose it."""
-    return Resp(station.resp, station.name, station.listen) if station.resp else Http1()
-
-
 def even(slot: int, ids: list[str]) -> list[int]:
     """By even ranges, as they stand at the start."""
     return [slot * len(ids) // SPACE]
