--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -292,8 +292,18 @@
         answer.slot, answer.write = slot, command.write
         id = b"%d-%d" % (self.number, self.count)
         answer.after = partial(
-            self.clients.door.take, answer, id, rule_set, left, command.write, key, self.tenant,
-            codec.command(*words), b"", slot)
+            self.clients.door.take,
+            answer,
+            id,
+            rule_set,
+            left,
+            command.write,
+            key,
+            self.tenant,
+            codec.command(*words),
+            b"",
+            slot,
+        )
         line = self.busy.setdefault(slot, [])
         line.append(answer)
         self.go_if_may(line, answer)
--- a/orchidgap/resp/mapper.py
+++ b/orchidgap/resp/mapper.py
@@ -64,8 +64,9 @@
 class Mapper:
     """The `Listing` of a node before slot servers."""
 
-    def __init__(self, node: Node, slots: Map, seeds: list[Address], secret: tuple[bytes, ...],
-                 dial: Dial) -> None:
+    def __init__(
+        self, node: Node, slots: Map, seeds: list[Address], secret: tuple[bytes, ...], dial: Dial
+    ) -> None:
         self.node, self.slots, self.secret, self.dial, self.loop = node, slots, secret, dial, node.loop
         self.seeds = {text_of(address): address for address in seeds}
         self.nodes = dict(self.seeds)
--- a/orchidgap/trial/baselines.py
+++ b/orchidgap/trial/baselines.py
@@ -8,7 +8,7 @@
 
 from binascii import crc_hqx
 from bisect import bisect_right
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from functools import lru_cache
 from hashlib import blake2b
 from random import Random
@@ -28,6 +28,11 @@
 SLOWEST = 1 << 50
 
 
+def even(slot: int, ids: Sequence[object]) -> list[int]:
+    """Where a slot is by even ranges, as they stand at the start: the number of one of these."""
+    return [slot * len(ids) // SPACE]
+
+
 class Plain(Door):
     """A decider that picks a host and, where that failed, another."""
 
@@ -165,9 +170,7 @@
 
     scene: Scene  # of the trial that it is in
 
-    @staticmethod
-    def homes(slot: int, ids: list[str]) -> list[int]:
-        return [slot * len(ids) // SPACE]
+    homes = staticmethod(even)
 
     def wait(self, id: str, cost: int) -> float:
         """Microseconds until that work would be done there."""
@@ -192,7 +195,7 @@
     def cost(self, req: Req, host: Host, cost: int) -> float:
         has = self.scene.key_of(req.key) in self.scene.stores[host.id].kept
         fetch = 0.0 if has else min((self.wait(at.id, 2 * cost) for at in self.origins), default=SLOWEST)
-        home = self.caches[min(req.slot * len(self.caches) // SPACE, len(self.caches) - 1)]
+        home = self.caches[even(req.slot, self.caches)[0]]
         return self.wait(host.id, cost) + 3 * fetch + (0 if has or host is home else cost)
 
     def pick(self, req: Req, hosts: list[Host]) -> Host:
--- a/orchidgap/trial/callers.py
+++ b/orchidgap/trial/callers.py
@@ -113,7 +113,6 @@
     def __init__(self, scene: Scene) -> None:
         self.scene, self.plan, self.loop, self.rng = scene, scene.plan, scene.loop, scene.rng
         self.idle: dict[str, list[CallerLink]] = {post: [] for post in scene.posts}
-        self.refused_at: dict[str, int] = {}
         works = scene.plan.works()
         self.works, self.work_ends = works, list(accumulate(work.share for work in works))
         self.weights = {post: 1.0 + scene.plan.callers.skew * self.rng.uniform(-1, 1) for post in scene.posts}
--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
+import os
 import selectors
 import socket
 from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from heapq import heappop
+from pathlib import Path
 from typing import Any
 
 from orchidgap.net.connection import Address, Fault, Reach, dial
@@ -339,3 +341,9 @@
 
     def dial(self, address: Address) -> socket.socket | Fault:
         return dial(address)
+
+
+def cpu_of(pid: int) -> float:
+    """Seconds of CPU that a process has used so far. Raises OSError where there is none."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
--- a/orchidgap/trial/listing.py
+++ b/orchidgap/trial/listing.py
@@ -87,17 +87,12 @@
 
     def __init__(self, listing: Listing, balancer: str, address: Address) -> None:
         self.listing, self.balancer, self.loop = listing, balancer, listing.loop
-        self.gone, self.late, self.frozen = (
-            False,
-            0,
-            0,
-        )  # silent; microseconds behind; the version it stays at
+        # silent; microseconds behind; the version it stays at
+        self.gone, self.late, self.frozen = False, 0, 0
         self.told_seq = 0
         self.links: dict[AgentLink, None] = {}
-        self.last: tuple[int, list[dict[str, Any]]] = (
-            1,
-            [],
-        )  # what the balancer would remember over a restart
+        # what the balancer would remember over a restart
+        self.last: tuple[int, list[dict[str, Any]]] = (1, [])
         listing.scene.ground.listen(address, self.accept)
 
     def accept(self, sock: socket.socket, who: str) -> None:
@@ -117,12 +112,10 @@
 
     def set(self, gone: bool = False, late: int = 0, frozen: bool = False) -> None:
         self.gone, self.late, self.frozen = gone, late, self.listing.seq if frozen else 0
-        if not gone:
-            for link in list(self.links):
-                link.again()
+        if not gone:  # what was asked while it was silent
+            self.wake()
         if not (gone or late or frozen):
             self.loop.later(PRESUMED, self.presume, self.listing.seq)
-            self.wake()
 
     def presume(self, seq: int) -> None:
         """Who does not ask counts as told, or not asking would be the way to keep the drain rule."""
@@ -176,10 +169,6 @@
         wait = int(query.get("wait_ms", ["0"])[0]) * 1000
         self.pending, self.waits_until = True, self.agent.loop.now + wait
         self.agent.loop.later(wait, self.due, self.waits_until)
-        self.again()
-
-    def again(self) -> None:
-        """Asked before it fell silent, or just now: answered if there is something to say."""
         self.wake()
 
     def due(self, until: int) -> None:
--- a/orchidgap/trial/plan.py
+++ b/orchidgap/trial/plan.py
@@ -63,11 +63,11 @@
     return round(milliseconds * 1_000)
 
 
-class Part_(Struct, forbid_unknown_fields=True, rename="kebab", frozen=True):
+class Table(Struct, forbid_unknown_fields=True, rename="kebab", frozen=True):
     """The common ground of all tables of a plan."""
 
 
-class Work(Part_, frozen=True):
+class Work(Table, frozen=True):
     """A rule set as clients use it. `share` is of all reqs, `work-ms` the mean time on a core of speed 1."""
 
     name: Name
@@ -83,7 +83,7 @@
     window_ms: Natural = 2_000.0
 
 
-class Tenancy(Part_, frozen=True):
+class Tenancy(Table, frozen=True):
     """`share` is what a tenant was promised, `usage` how much of that it asks for."""
 
     name: Name
@@ -91,7 +91,7 @@
     usage: Positive = 1.0
 
 
-class Model(Part_, frozen=True):
+class Model(Table, frozen=True):
     """What a host can do. Work above `queue` reqs a core waiting is turned away; above `crowd-at` reqs a core
     each further one slows all by `crowd`. Cold, it has `cold-from` of its speed, rising for `warm-s`."""
 
@@ -116,7 +116,7 @@
     zones: Count = 1
 
 
-class Keys(Part_, frozen=True):
+class Keys(Table, frozen=True):
     count: Count = 20_000
     zipf: Natural = 0.85
     warm: Part = 0.95  # of the hottest keys' copies are there at the start
@@ -124,14 +124,14 @@
     most_size: Count = 4_000
 
 
-class Net(Part_, frozen=True):
+class Net(Table, frozen=True):
     same_ms: Natural = 0.2  # one way
     cross_ms: Natural = 1.0
     jitter: Part = 0.2
     connect_timeout_ms: Positive = 100.0
 
 
-class Callers(Part_, frozen=True):
+class Callers(Table, frozen=True):
     retries: Annotated[int, Meta(ge=0, le=5)] = 1
     backoff_ms: Natural = 60.0
     honour: Part = 0.9  # of advice when to come back is followed
@@ -141,13 +141,13 @@
     skew: Part = 0.2  # how unlike the balancers' shares of the traffic are
 
 
-class Listing(Part_, frozen=True):
+class Listing(Table, frozen=True):
     notice_s: Natural = 2.0  # until a host that ended by itself is taken off
     silent_s: Natural = 6.0  # the same for one that went silent
     add_s: Natural = 1.0
 
 
-class Ceilings(Part_, frozen=True):
+class Ceilings(Table, frozen=True):
     dispatches: Count = 4
     may_cancel: bool = True
     may_double: bool = True
@@ -158,7 +158,7 @@
     memory_mb: Annotated[int, Meta(ge=32)] = 192
 
 
-class Trouble(Part_, frozen=True):
+class Trouble(Table, frozen=True):
     """`at-s` from the start, `for-s` how long; `part` of the targets or `target` by name; `size` is how much:
     the slow-down, the factor of the load, the share of the traffic, the seconds of delay."""
 
@@ -170,7 +170,7 @@
     size: Natural = 0.0
 
 
-class Plan(Part_, frozen=True):
+class Plan(Table, frozen=True):
     name: Name
     seconds: Annotated[float, Meta(gt=0.0, le=7_200.0)] = 30.0
     seed: Annotated[int, Meta(ge=0)] = 1
--- a/orchidgap/trial/referee.py
+++ b/orchidgap/trial/referee.py
@@ -86,7 +86,7 @@
         self.counts = dict.fromkeys(RULES, 0)
         self.breaches: list[tuple[str, float, str]] = []
         self.digest = blake2b(digest_size=8)
-        self.fetches = self.writes = 0
+        self.fetches = 0
         self.useful = self.spent = 0
         self.bad, self.bad_served, self.bad_ignored = 0, 0, 0
         self.denied = self.aborted = 0
--- a/orchidgap/trial/resp.py
+++ b/orchidgap/trial/resp.py
@@ -16,6 +16,7 @@
 from orchidgap.net.places import text_of
 from orchidgap.resp import codec
 from orchidgap.resp.front import slot_of as slot_at
+from orchidgap.trial.baselines import even
 from orchidgap.trial.callers import LATE_BY, Callers
 from orchidgap.trial.plan import Model, Trouble, micros, millis
 from orchidgap.trial.referee import Ask, Op
@@ -40,7 +41,7 @@
         self.moved = 0
 
     def share(self, ids: list[str]) -> None:
-        self.owner = [ids[slot * len(ids) // SPACE] for slot in range(SPACE)]
+        self.owner = [ids[even(slot, ids)[0]] for slot in range(SPACE)]
 
     def ranges(self, view: list[str]) -> list[tuple[int, int, str]]:
         found: list[tuple[int, int, str]] = []
@@ -70,13 +71,9 @@
         self.asking = False
         self.jobs: list[Job] = []
         self.places: deque[Place] = deque()  # what was asked, in its order
-        self.first_at = self.come_at = self.put_at = self.idle_since = store.loop.now
+        self.come_at = self.put_at = store.loop.now
         self.conn = Connection(store.loop, sock, self)
 
-    @property
-    def job(self) -> Job | None:
-        return self.jobs[0] if self.jobs else None
-
     def opened(self) -> None: ...
 
     def received(self, view: memoryview) -> None:
@@ -276,7 +273,7 @@
         for ask in self.asks:
             if ask.status or ask.left:
                 continue
-            if lives and not callers.scene.going.get(self.post):
+            if lives and not callers.scene.posts[self.post].leaving:
                 callers.scene.referee.broke(ask, callers.loop.now)
             else:
                 ask.left = True
--- a/orchidgap/trial/saturate.py
+++ b/orchidgap/trial/saturate.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import json
-import os
 import signal
 import socket
 import subprocess
@@ -26,10 +25,11 @@
 
 from orchidgap.http1 import codec as http
 from orchidgap.net.connection import Address, Connection, Fault, dial
-from orchidgap.net.loop import READ, Loop
+from orchidgap.net.loop import Loop
 from orchidgap.net.places import text_of
 from orchidgap.net.serve import serve
 from orchidgap.parts import parts_of
+from orchidgap.trial.fabric import Wires, cpu_of
 
 HOSTS = 3
 CONNECTIONS = 64
@@ -69,25 +69,6 @@
     def on_wake(self, token: int) -> None: ...
 
 
-class Listening:
-    """Accepts on an address and makes an owner for each connection."""
-
-    def __init__(self, loop: Loop, address: Address, owner: Any) -> None:
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(address)
-        self.sock.listen(512)
-        self.loop, self.owner = loop, owner
-        loop.watch(self.sock, READ, self.ready)
-
-    def ready(self, mask: int) -> None:
-        try:
-            sock, _ = self.sock.accept()
-        except OSError:
-            return
-        self.owner(self.loop, sock)
-
-
 class Answering:
     """A host that has every key and no work to do."""
 
@@ -222,12 +203,16 @@
     }
 
 
+def void(owner: object) -> None:
+    """An owner keeps itself, by the callbacks of its connection."""
+
+
 def run_hosts() -> None:
-    loop = Loop()
+    ground = Wires()
     for i in range(HOSTS + 1):
-        Listening(loop, host_of(i), Answering)
-    Listening(loop, AGENT, Telling)
-    loop.run()
+        ground.listen(host_of(i), lambda sock, who: void(Answering(ground.loop, sock)))
+    ground.listen(AGENT, lambda sock, who: void(Telling(ground.loop, sock)))
+    ground.loop.run()
 
 
 def run_front(kind: str, path: str) -> None:
@@ -235,9 +220,9 @@
         return serve(path, parts_of)
     if kind == "relay":
         return serve(path, parts_of, Relay)
-    loop = Loop()
-    Listening(loop, FRONT, Passing)
-    loop.run()
+    ground = Wires()
+    ground.listen(FRONT, lambda sock, who: void(Passing(ground.loop, sock)))
+    ground.loop.run()
 
 
 def run_clients(seconds: int) -> None:
@@ -258,11 +243,6 @@
     print(json.dumps({"done": done[0], "failed": done[1], "took": loop.clock() - began}), flush=True)
 
 
-def cpu_of(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 def part(*args: str, **more: Any) -> subprocess.Popen[bytes]:
     return subprocess.Popen([sys.executable, "-m", "orchidgap.trial.saturate", *args], **more)
 
--- a/orchidgap/trial/scene.py
+++ b/orchidgap/trial/scene.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import resource
 import signal
 import socket
@@ -17,7 +16,7 @@
 from contextlib import suppress
 from pathlib import Path
 from random import Random
-from typing import Any, Protocol, cast
+from typing import Any, cast
 
 from orchidgap.decisions.rules import SPACE
 from orchidgap.net import start
@@ -28,8 +27,9 @@
 from orchidgap.net.places import text_of
 from orchidgap.parts import parts_of
 from orchidgap.trial.baselines import decider as decider_of
+from orchidgap.trial.baselines import even
 from orchidgap.trial.callers import Callers
-from orchidgap.trial.fabric import Pairs, Queue, Share, Wires
+from orchidgap.trial.fabric import Pairs, Queue, Share, Wires, cpu_of
 from orchidgap.trial.listing import Agent, Listing
 from orchidgap.trial.plan import Plan, micros, millis
 from orchidgap.trial.referee import Referee, seconds_of
@@ -65,36 +65,42 @@
         self("fault", what=self.faults[-1])
 
 
-class Post(Protocol):
+class Post:
     """A balancer's place: its program may end and start again there."""
 
-    name: str
-    address: Address
-    zone: int
-    life: int
-    alive: bool
-    ready_at: int
-    died_at: int
-    stood: list[tuple[int, int]]
+    def __init__(self, scene: Scene, name: str, number: int, zone: int) -> None:
+        self.scene, self.name, self.number, self.zone = scene, name, number, zone
+        self.address: Address = (f"127.1.0.{number + 1}", 7070)
+        self.agent: Address = (f"127.3.0.{number + 1}", 8500)
+        self.life, self.alive, self.ready_at, self.died_at = 0, False, 0, 0
+        self.leaving = False  # it was told to end
+        self.stood: list[tuple[int, int]] = []
 
-    def begin(self, known: dict[str, Any]) -> None: ...
+    def ended(self) -> bool:
+        """Whether the program has ended by itself."""
+        raise NotImplementedError
 
-    def kill(self) -> None: ...
+    def kill(self) -> None:
+        raise NotImplementedError
 
-    def leave(self) -> None: ...
+    def look(self) -> None:
+        """After it was told to end: again and again, until it has."""
+        if self.alive and self.ended():
+            self.kill()
+        elif self.alive:
+            self.scene.loop.later(10_000, self.look)
 
-    def stand(self, until: int) -> None: ...
+    def gone(self) -> None:
+        self.alive, self.died_at = False, self.scene.loop.now
+        self.scene.referee.died(self.name, self.life, self.scene.loop.now)
 
 
-class VirtualPost:
+class VirtualPost(Post):
     """The real `Node` on its share of the one loop."""
 
     def __init__(self, scene: Scene, name: str, number: int, zone: int, decider: Decider) -> None:
-        self.scene, self.name, self.number, self.zone, self.decider = scene, name, number, zone, decider
-        self.address: Address = (f"127.1.0.{number + 1}", 7070)
-        self.agent: Address = (f"127.3.0.{number + 1}", 8500)
-        self.life, self.alive, self.ready_at, self.died_at = 0, False, 0, 0
-        self.stood: list[tuple[int, int]] = []
+        super().__init__(scene, name, number, zone)
+        self.decider = decider
         self.log = Lines(name, scene)
         self.node: Node | None = None
         self.share: Share | None = None
@@ -102,8 +108,7 @@
     def begin(self, known: dict[str, Any]) -> None:
         scene = self.scene
         assert isinstance(scene.ground, Pairs)
-        self.life, self.alive = self.life + 1, True
-        scene.going.pop(self.name, None)
+        self.life, self.alive, self.leaving = self.life + 1, True, False
         share = self.share = Share(scene.ground.loop, self.log.trouble)
         station = start.station(scene.told(self, known))
         ground = scene.ground
@@ -125,8 +130,7 @@
     def kill(self) -> None:
         if not self.alive:
             return
-        self.alive, self.died_at = False, self.scene.loop.now
-        self.scene.referee.died(self.name, self.life, self.scene.loop.now)
+        self.gone()
         self.scene.ground.unlisten(self.address)
         if self.share:
             self.share.kill()
@@ -134,15 +138,12 @@
     def leave(self) -> None:
         """As by SIGTERM."""
         if self.alive and self.node and self.share:
-            self.scene.going[self.name] = True
+            self.leaving = True
             self.share.soon(self.node.leave)
             self.look()
 
-    def look(self) -> None:
-        if self.alive and self.share and not self.share.running:
-            self.kill()
-        elif self.alive:
-            self.scene.loop.later(10_000, self.look)
+    def ended(self) -> bool:
+        return self.share is not None and not self.share.running
 
     def stand(self, until: int) -> None:
         if self.alive and self.share:
@@ -150,15 +151,12 @@
             self.share.stand(until)
 
 
-class RealPost:
+class RealPost(Post):
     """The program itself, as a process of its own on loopback."""
 
     def __init__(self, scene: Scene, name: str, number: int, zone: int, policy: str, folder: str) -> None:
-        self.scene, self.name, self.number, self.zone, self.policy = scene, name, number, zone, policy
-        self.address: Address = (f"127.1.0.{number + 1}", 7070)
-        self.agent: Address = (f"127.3.0.{number + 1}", 8500)
-        self.life, self.alive, self.ready_at, self.died_at = 0, False, 0, 0
-        self.stood: list[tuple[int, int]] = []
+        super().__init__(scene, name, number, zone)
+        self.policy = policy
         self.folder = Path(folder)
         self.process: subprocess.Popen[bytes] | None = None
         self.cpu = 0.0
@@ -174,7 +172,7 @@
             self.process = subprocess.Popen(
                 [sys.executable, *command, f"--config={path}"], stderr=log, stdout=log
             )
-        self.life, self.alive, self.ready_at = self.life + 1, True, 0
+        self.life, self.alive, self.ready_at, self.leaving = self.life + 1, True, 0, False
         self.until_up()
 
     def until_up(self) -> None:
@@ -194,8 +192,7 @@
         """CPU and memory so far, as the system counts them."""
         if self.process:
             with suppress(OSError, ValueError, IndexError):
-                fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-                self.cpu = (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+                self.cpu = cpu_of(self.process.pid)
                 for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
                     if line.startswith("VmHWM"):
                         self.peak_kb = int(line.split()[1])
@@ -203,22 +200,18 @@
     def kill(self) -> None:
         if self.alive and self.process:
             self.measure()
-            self.alive, self.died_at = False, self.scene.loop.now
-            self.process.send_signal(signal.SIGKILL)
+            self.process.kill()
             self.process.wait()
-            self.scene.referee.died(self.name, self.life, self.scene.loop.now)
+            self.gone()
 
     def leave(self) -> None:
         if self.alive and self.process:
+            self.leaving = True
             self.process.send_signal(signal.SIGTERM)
             self.look()
 
-    def look(self) -> None:
-        if self.alive and self.process and self.process.poll() is not None:
-            self.alive, self.died_at = False, self.scene.loop.now
-            self.scene.referee.died(self.name, self.life, self.scene.loop.now)
-        elif self.alive:
-            self.scene.loop.later(10_000, self.look)
+    def ended(self) -> bool:
+        return self.process is not None and self.process.poll() is not None
 
     def stand(self, until: int) -> None:
         if self.alive and self.process:
@@ -251,7 +244,6 @@
         self.grouping = groups.most_common(1)[0][0] if groups else "all"
         self.stores: dict[str, Store] = {}
         self.cluster = Cluster()  # who owns which slots, where servers do
-        self.going: dict[str, bool] = {}  # balancers that were told to end
         self.marks: dict[str, dict[bytes, int]] = {}  # by group: what is remembered, until when
         self.misses: dict[bytes, list[Store]] = {}  # by req: the caches that lacked its key
         self.cold_misses: dict[bytes, None] = {}
@@ -302,7 +294,7 @@
         self.listing.add(id, address, "origin" if is_origin else "cache", zone, 1.0, 0)
         return store
 
-    def told(self, post: VirtualPost | RealPost, known: dict[str, Any]) -> dict[str, Any]:
+    def told(self, post: Post, known: dict[str, Any]) -> dict[str, Any]:
         """The configuration of one balancer, as the platform would write it."""
         plan, ceilings = self.plan, self.plan.ceilings
         more: dict[str, Any] = {}
@@ -500,11 +492,6 @@
             self.folder.cleanup()
 
 
-def even(slot: int, ids: list[str]) -> list[int]:
-    """By even ranges, as they stand at the start."""
-    return [slot * len(ids) // SPACE]
-
-
 def slot_of(key: bytes) -> int:
     """The slot that the decisions will find for a key of the path."""
     return crc_hqx(b"%d" % (number_of(key) or 0), 0) & (SPACE - 1)
--- a/orchidgap/trial/stores.py
+++ b/orchidgap/trial/stores.py
@@ -265,14 +265,11 @@
         ask = job.arrival.ask
         if job.outcome != "miss":
             self.scene.referee.ran(job.arrival, job.took, self.loop.now)
-        if self.is_origin and job.outcome == "done":
-            if ask.op.work.write:
-                self.scene.referee.writes += 1
-            else:
-                self.scene.referee.fetches += 1
-                for store in self.scene.misses.pop(ask.id, ()):
-                    if store.alive:
-                        store.keep(ask.op.key)
+        if self.is_origin and job.outcome == "done" and not ask.op.work.write:
+            self.scene.referee.fetches += 1
+            for store in self.scene.misses.pop(ask.id, ()):
+                if store.alive:
+                    store.keep(ask.op.key)
         self.reply(job, job.outcome)
         self.pump()
 
@@ -331,11 +328,19 @@
         """The process ends at once: connections break, new ones are refused, what was kept is gone."""
         self.alive = self.vanished = self.draining = False
         self.scene.ground.unlisten(self.address)
+        self.halt()
+        self.forget()
+
+    def halt(self) -> None:
+        """What is running or waiting comes to nothing."""
         for job in self.running:
             if job.timer:
                 job.timer.cancel()
         self.waiting.clear()
         self.running.clear()
+
+    def forget(self) -> None:
+        """It knows nothing of its connections, what they brought, and what it had kept."""
         self.held.clear()
         self.load.clear()
         self.loaded = 0
@@ -360,19 +365,10 @@
         self.vanished = gone
         self.scene.ground.hush(self.address, gone)
         if gone:
-            for job in self.running:
-                if job.timer:
-                    job.timer.cancel()
-            self.running.clear()
-            self.waiting.clear()
+            self.halt()
         else:
-            self.held.clear()
-            for link in list(self.links):
-                link.close()
+            self.forget()
             self.born = self.loop.now
-            self.load.clear()
-            self.loaded = 0
-            self.kept.clear()
             self.scene.listing.put_later(self.id, "Ready", self.scene.plan.listing.add_s)
 
     def part(self, who: str, cut: bool) -> None:
--- a/orchidgap/trial/troubles.py
+++ b/orchidgap/trial/troubles.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 from orchidgap.trial.callers import rude
 from orchidgap.trial.fabric import Pairs
@@ -54,6 +54,19 @@
     what.pop(name, None)
 
 
+def for_a_time(
+    scene: Scene, trouble: Trouble, things: list[Any], name: str, value: object, usual: object
+) -> None:
+    """One attribute of some things is another until the trouble ends, then the usual."""
+
+    def put(what: object) -> None:
+        for thing in things:
+            setattr(thing, name, what)
+
+    put(value)
+    later(scene, trouble, put, usual)
+
+
 def crash(scene: Scene, trouble: Trouble) -> None:
     for store in caches(scene, trouble):
         store.stop()
@@ -83,15 +96,7 @@
 
 
 def slow(scene: Scene, trouble: Trouble) -> None:
-    hosts = caches(scene, trouble)
-    for store in hosts:
-        store.slow = trouble.size or 3.0
-
-    def end() -> None:
-        for store in hosts:
-            store.slow = 1.0
-
-    later(scene, trouble, end)
+    for_a_time(scene, trouble, caches(scene, trouble), "slow", trouble.size or 3.0, 1.0)
 
 
 def drain_one(scene: Scene, store: Store, back: int | None, linger: float = LINGER) -> None:
@@ -139,12 +144,7 @@
 
 
 def scan(scene: Scene, trouble: Trouble) -> None:
-    scene.callers.scan = trouble.size or 0.1
-
-    def end() -> None:
-        scene.callers.scan = 0.0
-
-    later(scene, trouble, end)
+    for_a_time(scene, trouble, [scene.callers], "scan", trouble.size or 0.1, 0.0)
 
 
 def hot_key(scene: Scene, trouble: Trouble) -> None:
@@ -152,12 +152,8 @@
     keys = scene.rng.sample(
         range(scene.plan.keys.count // 4, scene.plan.keys.count), scene.rng.randrange(1, 4)
     )
-    scene.callers.hot = (trouble.size or 0.2, [int(trouble.target)] if trouble.target.isdigit() else keys)
-
-    def end() -> None:
-        scene.callers.hot = (0.0, [])
-
-    later(scene, trouble, end)
+    hot = (trouble.size or 0.2, [int(trouble.target)] if trouble.target.isdigit() else keys)
+    for_a_time(scene, trouble, [scene.callers], "hot", hot, (0.0, []))
 
 
 def hot_tenant(scene: Scene, trouble: Trouble) -> None:
@@ -271,15 +267,7 @@
 
 
 def spoilt(scene: Scene, trouble: Trouble) -> None:
-    hosts = caches(scene, trouble)
-    for store in hosts:
-        store.spoilt = trouble.size or 0.2
-
-    def end() -> None:
-        for store in hosts:
-            store.spoilt = 0.0
-
-    later(scene, trouble, end)
+    for_a_time(scene, trouble, caches(scene, trouble), "spoilt", trouble.size or 0.2, 0.0)
 
 
 def bad_clients(scene: Scene, trouble: Trouble) -> None:
@@ -292,14 +280,7 @@
 
 
 def slow_origin(scene: Scene, trouble: Trouble) -> None:
-    for store in origins(scene):
-        store.slow = trouble.size or 4.0
-
-    def end() -> None:
-        for store in origins(scene):
-            store.slow = 1.0
-
-    later(scene, trouble, end)
+    for_a_time(scene, trouble, origins(scene), "slow", trouble.size or 4.0, 1.0)
 
 
 def stopped_origin(scene: Scene, trouble: Trouble) -> None:
@@ -309,12 +290,7 @@
 
 
 def load(scene: Scene, trouble: Trouble) -> None:
-    scene.callers.load = trouble.size or 4.0
-
-    def end() -> None:
-        scene.callers.load = 1.0
-
-    later(scene, trouble, end)
+    for_a_time(scene, trouble, [scene.callers], "load", trouble.size or 4.0, 1.0)
 
 
 ACTS: dict[str, Callable[[Scene, Trouble], None]] = {
