Rules: who owns a slot and has room is asked in one place

Cause: a re-read of the change. Placement asked three times in its own words for the host that a redirection or the map names. Change: Balancer.owner tells it, Placement.choose asks for room; the path without owners is untouched.

--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -131,10 +131,9 @@
 
     def owned(self, req: Req) -> None:
         """Servers that own their slots are asked for them, and nobody in their place."""
-        host = req.bound or self.desk.owner(req)
-        if host and host.state == "up" and self.room(host):
+        if host := self.choose(req):
             return self.next.take(req, host)
-        if host and (host.state != "up" or not host.out):
+        if (host := self.desk.owner(req)) and (host.state != "up" or not host.out):
             return self.desk.finish(req)
         self.keep(req)  # until there is room, or an owner is known
 
@@ -143,12 +142,10 @@
             return super().drain()
         held, self.held = self.held, deque[Req]()
         for req in held:  # one host without room must not hold up what is for others
-            if not req.over:
-                host = req.bound or self.desk.owner(req)
-                if host and host.state == "up" and self.room(host):
-                    self.next.take(req, host)
-                else:
-                    self.held.append(req)
+            if host := None if req.over else self.choose(req):
+                self.next.take(req, host)
+            elif not req.over:
+                self.held.append(req)
 
     def choose(self, req: Req) -> Host | None:
         ring, n = self.ring, len(self.ring)
@@ -479,8 +476,9 @@
             self.on_outcome(id, number, "moved", False)
 
     def owner(self, req: Req) -> Host | None:
+        """Where servers own their slots: whom the last redirection named, else the slot's owner as told."""
         name = self.owners.owner(req.slot) if self.owners else None
-        return self.hosts.get(name) if name else None
+        return req.bound or (self.hosts.get(name) if name else None)
 
     def restart(self, host: Host, since: int) -> None:
         """A process that has just started owes nothing to its forerunner."""
