Life cycle, operators' door, drains, and settings that change whole by SIGHUP

Ruled out: discovery itself down, a slow reaction to SIGHUP (the file is read within a turn).

Change: decisions/lifecycle.py says what the states mean, and node, door and both fronts ask it in place of their flags; orchidgap/admin listens at admin_addr with its own descriptors and its turn first; SIGHUP checks the file whole (versions.lacks, terms that raise on what is not over 0), then Balancer.on_terms takes it; open reqs keep rule set and number of dispatches. 'orchidgap admin' calls the door.

--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -3,6 +3,7 @@
 Usage:
   orchidgap serve [--config=FILE]
   orchidgap check [--config=FILE]
+  orchidgap admin (health | quiesce | resume) [--addr=ADDR] [--config=FILE]
   orchidgap version
   orchidgap try [--seed=N] [--real] [--policy=NAME] [--out=DIR]
   orchidgap trial PLAN [--seed=N] [--real] [--policy=NAME] [--out=DIR]
@@ -15,6 +16,7 @@
 Commands:
   serve     Serve until told to stop (SIGTERM or SIGINT); SIGHUP has the configuration read anew.
   check     Read the configuration as serve would, say what it holds, and end.
+  admin     Ask a running balancer whether it serves, to drain, or to serve again; exit code 1 on FAILURE.
   version   Print the version.
   try       Play ten seconds of a small fleet of stand-ins, in which one cache dies, and draw a report.
   trial     Play a plan and judge it; the last line is the verdict as JSON, exit code 1 where a rule broke.
@@ -25,6 +27,7 @@
 
 Options:
   --config=FILE  The configuration; without it, the file named by GW_CONFIG.
+  --addr=ADDR    The operators' address; without it GW_ADMIN_ADDR, or what the configuration says.
   --seed=N       Another seed than the plan's.
   --real         Balancers as processes on loopback, in real time; else all in one process on a virtual clock.
   --policy=NAME  Who decides: orchidgap, random, ring, bounded-ring, least-out or oracle [default: orchidgap].
@@ -48,6 +51,7 @@
 from orchidgap.net.serve import serve
 from orchidgap.parts import parts_of
 
+ACTS = ("health", "quiesce", "resume")
 TRIALS = ("try", "trial", "compare", "hunt", "saturate", "report")
 
 
@@ -61,6 +65,8 @@
         except ModuleNotFoundError as trouble:
             sys.exit(f"orchidgap: {trouble.name} is missing; `make tools` installs what this command needs")
         sys.exit(command.main(told))
+    if told["admin"]:
+        sys.exit(admin(next(name for name in ACTS if told[name]), told["--addr"], told["--config"]))
     try:
         path = told["--config"] or os.environ.get("GW_CONFIG")
         if told["serve"]:
@@ -75,5 +81,22 @@
           f"{station.sockets} descriptors, {station.memory_mb} MB")
 
 
+def admin(act: str, address: str | None, path: str | None) -> int | str:
+    """Makes a call, prints the answer; what to exit with."""
+    from orchidgap.admin.client import call
+    from orchidgap.net.places import address_of
+
+    try:
+        address = address or (None if path else os.environ.get("GW_ADMIN_ADDR"))
+        where = address_of(address) if address else start.read(path or os.environ.get("GW_CONFIG")).admin
+        if where is None:
+            return "orchidgap: no operators' address: give --addr, or admin_addr in the configuration"
+        done, said = call(where, act)
+    except (OSError, ValueError, start.BadStart) as trouble:
+        return f"orchidgap: {trouble}"
+    print(said)
+    return 0 if done else 1
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/orchidgap/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' door: one line to a connection, answered by one line that begins with SUCCESS or FAILURE."""
--- /dev/null
+++ b/orchidgap/decisions/lifecycle.py
@@ -0,0 +1,98 @@
+"""The life of a balancer: what starting, serving, draining, drained and leaving mean, and what follows what.
+
+Times are whole microseconds. The node tells what happened, and all parts ask what it means.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+LAST_CALL = 400_000    # after being told to stop, how long clients are still sent here
+UNUSED_FOR = 1_000_000  # into a drain, a connection that asks nothing is idle for good
+LAST_WORDS = 3_500_000  # after being told to stop, when it ends whatever is open
+
+
+class State(Enum):
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    DRAINED = "drained"
+    LEAVING = "leaving"
+
+
+class Meaning(NamedTuple):
+    """What holds in one state."""
+
+    yes: bool                # the answer to "do you serve?"
+    admits_for: int | None   # how long new connections are let in; None for as long as the state lasts
+    last: bool               # an answer is the last on its connection
+    quiet_after: int | None  # when connections that ask nothing are closed; None for never
+    resumes: bool            # whether a drain can be ended from here
+
+
+MEANS = {
+    State.STARTING: Meaning(False, None, False, None, True),
+    State.SERVING: Meaning(True, None, False, None, True),
+    State.DRAINING: Meaning(False, None, True, UNUSED_FOR, True),
+    State.DRAINED: Meaning(False, None, True, 0, True),
+    State.LEAVING: Meaning(False, LAST_CALL, True, LAST_CALL, False),
+}
+
+# What happens, and where it leads. "able": it listens and has a list of hosts; "empty": no client is left;
+# what stands in no row changes nothing.
+NEXT = {
+    (State.STARTING, "able"): State.SERVING,
+    (State.STARTING, "quiesce"): State.DRAINING,
+    (State.SERVING, "quiesce"): State.DRAINING,
+    (State.DRAINING, "empty"): State.DRAINED,
+    (State.DRAINING, "resume"): State.SERVING,
+    (State.DRAINED, "resume"): State.SERVING,
+} | {(state, "leave"): State.LEAVING for state in State if state is not State.LEAVING}
+
+
+class Life:
+    """One balancer's life.
+
+    >>> life = Life(0)
+    >>> [(life.on(event, 10), life.state.value, life.means.yes) for event in ("quiesce", "resume", "able")]
+    [(True, 'draining', False), (True, 'starting', False), (True, 'serving', True)]
+    >>> life.on("quiesce", 20), life.on("quiesce", 30), life.since, life.lets_go(20), life.lets_go(1_000_020)
+    (True, False, 20, False, True)
+    >>> life.on("leave", 40), life.admits(40), life.admits(400_040), life.on("resume", 50), life.state.value
+    (True, True, False, False, 'leaving')
+    """
+
+    __slots__ = ("able", "changes", "heir", "since", "state")
+
+    def __init__(self, now: int) -> None:
+        self.state, self.since = State.STARTING, now
+        self.able = False  # it could serve, whatever it was told by hand
+        self.heir = False  # another process of this balancer lets clients in
+        self.changes = 0
+
+    @property
+    def means(self) -> Meaning:
+        return MEANS[self.state]
+
+    def on(self, event: str, now: int) -> bool:
+        """What happened, and when; whether the state is another one now."""
+        self.able = self.able or event == "able"
+        to = NEXT.get((self.state, event))
+        if to is None:
+            return False
+        if to is State.SERVING and not self.able:
+            to = State.STARTING
+        self.state, self.since = to, now
+        self.changes += 1
+        return True
+
+    def admits(self, now: int) -> bool:
+        """Whether new connections are let in."""
+        until = self.means.admits_for
+        return until is None or not self.heir and now - self.since < until
+
+    def lets_go(self, now: int) -> bool:
+        """Whether connections that ask nothing are closed."""
+        after = self.means.quiet_after
+        return after is not None and now - self.since >= after
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -58,6 +58,7 @@
     write: bool
     born: int
     due: int               # when its client gives up
+    most: int              # dispatches that it may have
     sent: list[Sent] = field(default_factory=list)
     out: int = 0
     over: bool = False     # it has its final answer
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -36,8 +36,15 @@
 
     def __init__(self, desk: Balancer) -> None:
         super().__init__(desk)
-        self.let_in = dict.fromkeys(desk.terms.tenants, 0.0)  # reqs by tenant, in the last seconds
-        self.shed, self.worst, self.pressed = self.let_in.copy(), 0, False
+        self.let_in: dict[str, float] = {}  # reqs by tenant, in the last seconds
+        self.shed: dict[str, float] = {}    # the part of them that is turned away
+        self.worst, self.pressed = 0, False
+        self.follow()
+
+    def follow(self) -> None:
+        tenants = self.desk.terms.tenants
+        self.let_in = {name: self.let_in.get(name, 0.0) for name in tenants}
+        self.shed = {name: self.shed.get(name, 0.0) for name in tenants}
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
@@ -293,7 +300,7 @@
 
     def take(self, req: Req, host: Host | None = None) -> None:
         desk = self.desk
-        if host is None or len(req.sent) - req.hops >= desk.terms.max_dispatches:
+        if host is None or len(req.sent) - req.hops >= req.most:
             return desk.give_up(req)
         sent = Sent(req, host, desk.now)
         req.bound = None
@@ -373,12 +380,15 @@
 
     def __init__(self, desk: Balancer) -> None:
         self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
-        self.unit = max(1, desk.target // 64)
-        self.codes = {name: code_of(name) for name in desk.terms.tenants}
-        self.names = {code: name for name, code in self.codes.items()}
         self.hosts: dict[int, Host] = {}
+        self.follow()
         self.seen, self.sums = Tally(), Tally()  # own counts; those of all, while it is this one's turn
 
+    def follow(self) -> None:
+        self.unit = max(1, self.desk.target // 64)
+        self.codes = {name: code_of(name) for name in self.desk.terms.tenants}
+        self.names = {code: name for name, code in self.codes.items()}
+
     def note(self, code: int, asked: int, took: int = 0) -> None:
         if self.on:
             self.seen.add(code, asked, took > 0, took)
@@ -429,7 +439,7 @@
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
         super().__init__(port, now)
         self.terms, self.rng = terms, Random(seed)
-        self.target = min(rule_set.response_target for rule_set in terms.rule_sets.values())
+        self.target = terms.target
         self.failures = 0  # of calls for the list, in a row
         self.owners: Map | None = None  # of slots, where servers own them
         self.pool = Pool(self)
@@ -444,10 +454,18 @@
                slot: int = -1) -> None:
         if slot < 0:  # not the protocol's own
             slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
-        req = Req(id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left)
+        req = Req(id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left,
+                  self.terms.max_dispatches)
         self.reqs[id] = req
         self.admission.take(req)
 
+    def on_terms(self, terms: ServiceTerms) -> None:
+        """They count for reqs from now on; those that are open keep theirs. What was counted lives on."""
+        self.terms, self.target = terms, terms.target
+        self.admission.follow()
+        self.pool.follow()
+        self.pump()
+
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
         if self.failures:
@@ -528,7 +546,7 @@
         rule_set, doubtful = req.rule_set, [] if req.rule_set.replayable else req.suspects()
         if req.over or req.out and not self.terms.may_double:
             return False
-        if len(req.sent) - req.hops >= self.terms.max_dispatches:
+        if len(req.sent) - req.hops >= req.most:
             return False
         if doubtful and not (rule_set.uniqued and self.now - doubtful[0].at < rule_set.repeat_window):
             return False  # it may have run, and nobody would drop the repeat
--- a/orchidgap/decisions/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -4,11 +4,16 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from math import inf
 from typing import NamedTuple
 
+EFFECTS = ("retryable", "dedup", "fragile")
+GROUPS = ("all", "zone", "cell")
+AT_START = ("peer_messages", "origin_kind", "subscribes")  # what the records of hosts and the talk stand on
 
-class MissingTerm(LookupError):
-    """A setting without which nothing can be decided."""
+
+class BadTerm(LookupError):
+    """A setting that is missing, or cannot be meant: nothing could be decided by it."""
 
 
 class RuleSet(NamedTuple):
@@ -33,7 +38,11 @@
     >>> ServiceTerms.read({"rule-sets.count": "1", "rule-sets.0.name": "a"})
     Traceback (most recent call last):
         ...
-    orchidgap.decisions.terms.MissingTerm: setting rule-sets.0.client-timeout is missing
+    orchidgap.decisions.terms.BadTerm: setting rule-sets.0.client-timeout is missing
+    >>> ServiceTerms.read(pairs | {"rule-sets.0.client-timeout": "-5"})
+    Traceback (most recent call last):
+        ...
+    orchidgap.decisions.terms.BadTerm: setting rule-sets.0.client-timeout is -5, and must be over 0
     """
 
     rule_sets: dict[str, RuleSet]
@@ -51,40 +60,67 @@
     cold_from: float
     warm_after: int
 
+    def standing(self, now: ServiceTerms) -> ServiceTerms:
+        """These terms, as far as they can follow those that count now without a restart."""
+        return self._replace(**{name: getattr(now, name) for name in AT_START})
+
+    @property
+    def target(self) -> int:
+        """The shortest response target."""
+        return min(rule_set.response_target for rule_set in self.rule_sets.values())
+
     @classmethod
     def read(cls, pairs: Mapping[str, str]) -> ServiceTerms:
         def need(path: str) -> str:
             if path not in pairs:
-                raise MissingTerm(f"setting {path} is missing")
+                raise BadTerm(f"setting {path} is missing")
             return pairs[path]
 
-        def number(path: str, default: float) -> float:
-            return float(pairs.get(path, default))
+        def number(path: str, default: float, over: bool = False) -> float:
+            try:
+                value = float(pairs.get(path, default))
+            except ValueError:
+                raise BadTerm(f"setting {path} is {pairs[path]!r}, and must be a number") from None
+            if not (0 < value < inf if over else 0 <= value < inf):
+                raise BadTerm(f"setting {path} is {value:g}, and must be over 0" if over else
+                              f"setting {path} is {value:g}, and must not be under 0")
+            return value
+
+        def word(path: str, default: str, among: tuple[str, ...]) -> str:
+            if (value := pairs.get(path, default)) not in among:
+                raise BadTerm(f"setting {path} is {value!r}, and must be one of {', '.join(among)}")
+            return value
 
         def yes(path: str, default: str = "false") -> bool:
             return pairs.get(path, default) in ("true", "1")
 
-        rule_sets = {}
-        for i in range(int(need("rule-sets.count"))):
+        rule_sets: dict[str, RuleSet] = {}
+        need("rule-sets.count")
+        for i in range(int(number("rule-sets.count", 0, over=True))):
             at = f"rule-sets.{i}."
-            timeout = int(need(at + "client-timeout"))
-            effect = need(at + "effect")
+            need(at + "client-timeout")
+            timeout = int(number(at + "client-timeout", 0, over=True))
+            need(at + "effect")
+            effect = word(at + "effect", "", EFFECTS)
             name = need(at + "name")
+            if not name or name in rule_sets:
+                raise BadTerm(f"setting {at}name is {name!r}, and must be a name of its own")
             rule_sets[name] = RuleSet(
-                int(number(at + "response-target", timeout)), effect == "retryable", effect == "dedup",
-                pairs.get(at + "group", "cell"), int(number(at + "repeat-window", 0)))
-        tenants = {}
+                int(number(at + "response-target", timeout, over=True)),
+                effect == "retryable", effect == "dedup",
+                word(at + "group", "cell", GROUPS), int(number(at + "repeat-window", 0)))
+        tenants: dict[str, Tenant] = {}
         for i in range(int(number("customers.count", 0))):
             name = need(f"customers.{i}.name")
-            tenants[name] = Tenant(number(f"customers.{i}.share", 1.0))
-        kind = int(number("family-info.origin-kind", -1))
+            tenants[name] = Tenant(number(f"customers.{i}.share", 1.0, over=True))
         kinds = pairs.get("kinds", "").split(",")
-        aside = pairs.get("family-info.mode") == "aside" and 0 <= kind < len(kinds)
+        kind = int(number("family-info.origin-kind", len(kinds)))
+        aside = pairs.get("family-info.mode") == "aside" and kind < len(kinds)
         return cls(
             rule_sets, tenants, max(1, int(number("instances", 1))), int(number("slot-no", 0)),
             yes("ceilings.peer-messages"), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
-            int(number("ceilings.most-dispatches", 3)),
+            int(number("ceilings.most-dispatches", 3, over=True)),
             yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
             number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -73,7 +73,7 @@
 
     def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
         reader, self.asked = self.reader, None
-        last = not reader.extra and (self.clients.leaving or not reader.lasts)
+        last = not reader.extra and (self.clients.last or not reader.lasts)
         self.conn.send(codec.answer(status, len(body), last, pause), body)
         if reader.extra:
             self.refuse(400)  # it did not wait for its answer
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -156,6 +156,10 @@
         super().__init__(loop, most, connect_within, SWEEP, dial)
         self.idle_for = idle_for
 
+    def bound(self, connect_within: int, idle_for: int) -> None:
+        super().bound(connect_within, idle_for)
+        self.idle_for = idle_for
+
     def make(self, address: Address) -> Pool:
         return Pool(self, address)
 
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -105,6 +105,19 @@
     return None
 
 
+def listener_at(address: Address, backlog: int) -> socket.socket:
+    """A socket that listens there. Raises OSError."""
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 class Owner(Protocol):
     def opened(self) -> None: ...
 
--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -7,12 +7,14 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from orchidgap.net.connection import SHORT, Address, Connection
+from orchidgap.decisions.lifecycle import Life
+from orchidgap.net.connection import SHORT, Address, Connection, listener_at
 from orchidgap.net.loop import READ, Loop, Timer
 
 PATIENCE = 2_500_000    # for a req to come whole, since its connection or its first byte came
 SETTLED = 500_000       # after which who has asked nothing yet is the first to make way
 SWEEP = 250_000
+FRESH = 250_000         # whoever came so lately is about to ask
 RESPITE = 50_000        # before accepting again where descriptors have run out
 BACKLOG = 512
 AT_A_TIME = 64          # connections let in before others get their turn
@@ -39,6 +41,8 @@
 
 
 class Door(Protocol):
+    life: Life
+
     def ready(self) -> bool: ...
 
     def knows(self, rule_set: str) -> bool: ...
@@ -117,20 +121,11 @@
         self.parting: dict[Caller, None] = {}  # with their last answer; the longest first
         self.listener: socket.socket | None = None
         self.resting: Timer | None = None
-        self.leaving = False
         loop.later(SWEEP, self.sweep)
 
     def listen(self, address: Address) -> None:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(BACKLOG)
-        except OSError:
-            listener.close()
-            raise
-        self.listener = listener
-        self.loop.watch(listener, READ, self.accept)
+        self.listener = listener_at(address, BACKLOG)
+        self.loop.watch(self.listener, READ, self.accept)
 
     def accept(self, mask: int = READ, many: int = AT_A_TIME) -> None:
         for _ in range(many):
@@ -206,12 +201,13 @@
             self.loop.watch(self.listener, READ, self.accept)
             self.accept()
 
-    def leave(self) -> None:
-        """From now on each answer is the last on its connection."""
-        self.leaving = True
+    @property
+    def last(self) -> bool:
+        """Whether an answer is the last on its connection."""
+        return self.door.life.means.last
 
     def shut(self) -> None:
-        """Let nobody in any more, and let those go who ask nothing."""
+        """Let nobody in any more."""
         if self.listener:
             self.accept(many=BACKLOG)
             listener, self.listener = self.listener, None
@@ -220,7 +216,11 @@
             else:
                 self.loop.unwatch(listener)
             listener.close()
+
+    def release(self) -> None:
+        """Let those go who ask nothing; who has just come is about to."""
+        fresh = self.loop.now - FRESH
         for client in [*self.idle, *self.unasked]:
             client.conn.ready(READ)  # a req that has come is still answered
-            if client in self.idle or client in self.unasked and not client.begun:
+            if client in self.idle or client in self.unasked and not client.begun and client.since <= fresh:
                 client.part() if client.conn.out else client.close()
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -45,6 +45,7 @@
         self.clock = clock or system_clock()
         self.trouble = trouble  # told of what escapes a call; without it the loop ends
         self.selector = selectors.DefaultSelector()
+        self.first: set[Callable[[int], None]] = set()  # whose turn comes before all others'
         self.timers: list[tuple[int, int, Timer]] = []
         self.next: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self.count = 0
@@ -52,8 +53,10 @@
         self.now = self.looked = self.since = self.clock()  # since: nothing that is ready now was so before
         self.buffer = memoryview(bytearray(1 << 16))  # what is read stands here until the next read
 
-    def watch(self, sock: socket.socket, mask: int, act: Callable[[int], None]) -> None:
+    def watch(self, sock: socket.socket, mask: int, act: Callable[[int], None], first: bool = False) -> None:
         self.selector.register(sock, mask, act)
+        if first:
+            self.first.add(act)
 
     def rewatch(self, sock: socket.socket, mask: int, act: Callable[[int], None]) -> None:
         self.selector.modify(sock, mask, act)
@@ -88,6 +91,8 @@
         now = self.clock()
         self.since = self.looked if now - entered < AT_ONCE else now
         self.now = self.looked = now
+        if self.first and len(events) > 1:
+            events.sort(key=lambda event: event[0].data not in self.first)
         for key, mask in events:
             self.call(key.data, mask)
         self.now = self.clock()
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -8,6 +8,7 @@
 from hashlib import blake2b
 from typing import Any, Protocol
 
+from orchidgap.decisions.lifecycle import LAST_WORDS, Life, State
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
@@ -19,9 +20,8 @@
 from orchidgap.net.trip import Trip
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
-LAST_CALL = 400_000  # after being told to stop, how long to go on letting clients in
-LAST_WORDS = 3_500_000
 TICK = 10_000
+AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin")  # of what a new file may bring
 LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 128        # reckoned for each client: a req or an answer; few are as large, and few answers larger
@@ -121,7 +121,7 @@
         self.reqs: dict[int, Exchange] = {}
         self.names: set[bytes] = set()  # of reqs that are owed an answer
         self.count = 0
-        self.listed = False
+        self.life = Life(loop.now)
         room = station.sockets - SPARE
         most = max(8, min(room // 2, (station.memory_mb - BASE_MB) * 1024 // HELD_KB))
         self.clients = parts.clients(self, most)
@@ -133,13 +133,14 @@
         _, _, entries, found = self.station.known
         self.hosts.follow(True, found)
         self.decide(self.balancer.on_hosts, "recalled", entries)
-        self.listed = bool(entries)
+        if entries:
+            self.pass_on("able")
         self.registry.ask()
 
     # --- what the network tells
 
     def ready(self) -> bool:
-        return self.listed and not self.clients.leaving
+        return self.life.means.yes
 
     def knows(self, rule_set: str) -> bool:
         return rule_set in self.station.terms.rule_sets
@@ -163,7 +164,7 @@
     def on_list(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
         self.hosts.follow(whole, found)
         self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
-        self.listed = True
+        self.pass_on("able")
 
     def decide(self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None) -> None:
         """One call of the decisions. Where it fails, the req it was about is still answered."""
@@ -220,28 +221,67 @@
     def log(self, line: str) -> None:
         self.note("mode", what=line)
 
-    # --- new terms and the end
-
-    def move(self, station: Station) -> None:
-        """The watch goes where the new terms say; what else is new in them counts from the next start."""
-        later = [name for name, old, new in zip(Station._fields, self.station, station)
-                 if old != new and name not in ("discovery", "known", "seed")]
-        self.note("terms read", discovery=station.discovery, **({"at_next_start": later} if later else {}))
+    # --- what operators ask for
+
+    def health(self) -> tuple[bool, str]:
+        """Whether it serves, and one plain word on it; so do the other acts."""
+        return self.ready(), self.life.state.value
+
+    def quiesce(self) -> tuple[bool, str]:
+        """Have all clients go elsewhere, none of them unanswered."""
+        self.pass_on("quiesce")
+        return True, self.life.state.value
+
+    def resume(self) -> tuple[bool, str]:
+        """End a drain."""
+        may = self.life.means.resumes
+        self.pass_on("resume")
+        return may, self.life.state.value
+
+    def adopt(self, station: Station) -> None:
+        """New terms count for reqs from now on; what cannot change while it runs waits for the next start."""
+        old = self.station
+        later = [name for name in AT_NEXT_START if getattr(station, name) != getattr(old, name)]
+        terms = station.terms.standing(old.terms)
+        later += [name for name in terms._fields if getattr(terms, name) != getattr(station.terms, name)]
+        self.station = station._replace(terms=terms, **{name: getattr(old, name) for name in AT_NEXT_START})
+        if terms != old.terms:
+            self.decide(self.balancer.on_terms, terms)
+        self.hosts.bound(station.connect_within, station.idle_for)
+        self.note("terms read", discovery=station.discovery, rule_sets=list(terms.rule_sets),
+                  dispatches=terms.max_dispatches, **({"at_next_start": later} if later else {}))
         self.registry.move(station.discovery)
 
     def leave(self) -> None:
-        if not self.clients.leaving:
-            self.note("leaving", reqs=len(self.reqs), clients=len(self.clients.open))
-            self.clients.leave()
-            self.loop.later(LAST_CALL, self.clients.shut)
-            self.loop.later(LAST_CALL + TICK, self.end_if_done)
-            self.loop.later(LAST_WORDS, self.end)
-
-    def end_if_done(self) -> None:
-        if self.clients.open:  # also while one of them has a req out or an answer to read
-            self.loop.later(TICK, self.end_if_done)
-        else:
-            self.end()
+        self.pass_on("leave")
+
+    # --- its life
+
+    def pass_on(self, event: str) -> None:
+        """To the next state, where the event leads to one."""
+        took = self.loop.now - self.life.since
+        if self.life.on(event, self.loop.now):
+            self.note(self.life.state.value, reqs=len(self.reqs), clients=len(self.clients.open),
+                      after_ms=took // 1000)
+            if self.life.means.last:
+                self.attend(self.life.changes)
+
+    def attend(self, change: int) -> None:
+        """While clients are let go: see who is left, until the state is another one."""
+        life, now = self.life, self.loop.now
+        if life.changes != change:
+            return
+        if not life.admits(now):
+            self.clients.shut()
+        if life.lets_go(now):
+            self.clients.release()
+            if not self.clients.open and not self.reqs:
+                self.pass_on("empty")
+        if life.state is State.LEAVING:
+            done = not (life.admits(now) or self.clients.open)  # open while a req is, or an answer to read
+            if done or now - life.since >= LAST_WORDS:
+                return self.end()
+        self.loop.later(TICK, self.attend, change)
 
     def end(self) -> None:
         self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()))
--- a/orchidgap/net/pools.py
+++ b/orchidgap/net/pools.py
@@ -50,6 +50,10 @@
         self.count = 0
         loop.later(sweep, self.swept)
 
+    def bound(self, connect_within: int, idle_for: int) -> None:
+        """New times for connections to come up, and to stay idle, in microseconds."""
+        self.connect_within = connect_within
+
     def make(self, address: Address) -> P:
         raise NotImplementedError
 
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -9,11 +9,14 @@
 from collections.abc import Callable
 from typing import Any
 
+from orchidgap.admin.door import Operators
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net import start
+from orchidgap.net.connection import Address
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.node import Node, Parts
+from orchidgap.net.places import text_of
 
 BIND_FOR = 10.0  # seconds: a forerunner that was killed may still hold the address
 
@@ -26,20 +29,27 @@
     loop = Loop(trouble=log.trouble)
     node = Node(loop, station, log, parts(station), decider=decider)
     bell = on_signal(loop, node, path)
+    if station.admin:
+        operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume})
+        listen(operators.listen, station.admin)
+    listen(node.clients.listen, station.listen)
+    log("listening", listen=text_of(station.listen), operators=station.admin and text_of(station.admin),
+        hosts=len(station.known[3]), clients=node.clients.most, links=node.hosts.most)
+    node.start()
+    loop.run()
+    bell.close()
+
+
+def listen(at: Callable[[Address], None], address: Address) -> None:
+    """Raises BadStart where the address cannot be had in time."""
     until = time.monotonic() + BIND_FOR
     while True:
         try:
-            node.clients.listen(station.listen)
-            break
+            return at(address)
         except OSError as trouble:
             if trouble.errno != errno.EADDRINUSE or time.monotonic() > until:
-                raise start.BadStart(f"cannot listen on {station.listen}: {trouble.strerror}") from None
+                raise start.BadStart(f"cannot listen on {text_of(address)}: {trouble.strerror}") from None
             time.sleep(0.05)
-    node.start()
-    log("serving", listen=station.listen, hosts=len(node.hosts.pools), clients=node.clients.most,
-        links=node.hosts.most)
-    loop.run()
-    bell.close()
 
 
 def on_signal(loop: Loop, node: Node, path: str | None) -> socket.socket:
@@ -65,6 +75,6 @@
 def read_anew(node: Node, path: str | None) -> None:
     """A file that cannot be used, or is only half there, must not cost what is known."""
     try:
-        node.move(start.read(path))
+        node.adopt(start.read(path, node.station))
     except start.BadStart as trouble:
         node.note("terms kept", why=str(trouble))
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import os
 import resource
 from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
 import orjson
 
-from orchidgap.decisions.terms import MissingTerm, ServiceTerms
+from orchidgap.decisions import versions
+from orchidgap.decisions.terms import BadTerm, ServiceTerms
 from orchidgap.net.connection import Address
 from orchidgap.net.places import Entry, Place, address_of, decoded
 
@@ -31,6 +33,8 @@
     connect_within: int
     idle_for: int
     resp: Mapping[str, Any] | None = None  # where RESP is spoken in place of HTTP: its part of the file
+    admin: Address | None = None  # where operators call, if they may
+    shape: Mapping[str, str] = {}  # which keys the file had, with the kinds of their values
 
 
 def flat(tree: Any, path: str = "") -> Iterator[tuple[str, str]]:
@@ -51,7 +55,8 @@
         yield path, str(tree).lower() if isinstance(tree, bool) else str(tree)
 
 
-def read(path: str | None) -> Station:
+def read(path: str | None, before: Station | None = None) -> Station:
+    """Takes the file's path and what it is to follow, if anything. Raises BadStart if it cannot be used."""
     if not path:
         raise BadStart("GW_CONFIG names no file")
     try:
@@ -62,8 +67,8 @@
     except ValueError as trouble:
         raise BadStart(f"{path} is not JSON: {trouble}") from None
     try:
-        return station(told)
-    except MissingTerm as trouble:
+        return station(told, before)
+    except BadTerm as trouble:
         raise BadStart(f"{path}: {trouble}") from None
     except KeyError as trouble:
         raise BadStart(f"{path}: {trouble.args[0]} is missing or unknown") from None
@@ -71,9 +76,18 @@
         raise BadStart(f"{path}: {trouble}") from None
 
 
-def station(told: Any) -> Station:
+def over_none(part: Mapping[str, str], path: str, default: int) -> int:
+    if (value := int(part.get(path, default))) <= 0:
+        raise BadTerm(f"setting {path} is {value}, and must be over 0")
+    return value
+
+
+def station(told: Any, before: Station | None = None) -> Station:
     if not isinstance(told, Mapping):
         raise ValueError("an object was expected")
+    shape = versions.shape(told)
+    if before and (lack := versions.lacks(before.shape, shape, versions.empty_lists(told))):
+        raise BadTerm(lack)
     pairs = dict(flat(told["settings"]))
     pairs["ceilings.peer-messages"] = "false"  # the protocol has no words for them
     limits = told.get("limits") or {}
@@ -86,5 +100,7 @@
         str(told.get("name", "")), address_of(told["listen"]),
         address_of(told["discovery"]) if told.get("discovery") or not told.get("resp") else ("", 0),
         int(str(told.get("seed") or 0), 16), sockets, int(limits.get("memory_mb") or 1024), known,
-        ServiceTerms.read(pairs), int(pairs.get("ceilings.connect-timeout", 250_000)),
-        int(pairs.get("ceilings.conn-idle", 15_000_000)), told.get("resp"))
+        ServiceTerms.read(pairs), over_none(pairs, "ceilings.connect-timeout", 250_000),
+        over_none(pairs, "ceilings.conn-idle", 15_000_000), told.get("resp"),
+        address_of(admin) if (admin := told.get("admin_addr") or os.environ.get("GW_ADMIN_ADDR")) else None,
+        shape)
--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -240,7 +240,7 @@
             self.large += (len(out[-1]) - self.large) // 8
         if out and self.conn.open:
             self.conn.send(b"".join(out))
-            if self.clients.leaving and not self.waiting:
+            if self.clients.last and not self.waiting:
                 return self.part()
         if out and self.conn.open and not self.conn.closing and (self.conn.holds or not self.waiting):
             self.clients.loop.soon(self.go_on)
--- a/orchidgap/trial/baselines.py
+++ b/orchidgap/trial/baselines.py
@@ -69,13 +69,17 @@
         self.origins = [host for host in ready if host.is_origin]
         self.follow()
 
+    def on_terms(self, terms: ServiceTerms) -> None:
+        self.terms = terms
+
     def follow(self) -> None:
         """The caches have changed."""
 
     def on_req(self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str) -> None:
         slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
         req = self.reqs[id] = Req(
-            id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left
+            id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left,
+            self.terms.max_dispatches
         )
         self.go(req)
 
@@ -83,7 +87,7 @@
         tried = [sent.host for sent in req.sent if sent.verdict != "miss"]
         at_origin = req.missed or req.write and bool(self.terms.origin_kind)
         hosts = [host for host in (self.origins if at_origin else self.caches) if host not in tried]
-        if not hosts or len(req.sent) >= self.terms.max_dispatches:
+        if not hosts or len(req.sent) >= req.most:
             return self.finish(req)
         host = min(hosts, key=lambda at: at.out) if at_origin else self.pick(req, hosts)
         if req.sent and not Balancer.may_repeat(cast(Any, self), req, host):
--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -174,7 +174,7 @@
     def soon(self, act: Callable[..., None], *args: Any) -> None:
         self.world.soon(self.enter, act, *args)
 
-    def watch(self, sock: Any, mask: int, act: Callable[[int], None]) -> None:
+    def watch(self, sock: Any, mask: int, act: Callable[[int], None], first: bool = False) -> None:
         self.socks[sock] = (mask, act)
         if isinstance(sock, Queue):
             sock.act = lambda ready: self.enter(act, ready)
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -6,7 +6,7 @@
 from typing import BinaryIO
 
 from orchidgap.decisions.rules import Balancer
-from orchidgap.decisions.terms import MissingTerm, ServiceTerms
+from orchidgap.decisions.terms import BadTerm, ServiceTerms
 
 VERDICTS = {
     "Ok": "done", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout",
@@ -177,7 +177,7 @@
             except Exception as trouble:  # the day must stop with a text
                 if isinstance(trouble, (ValueError, KeyError)) and decoding(trouble):
                     raise Malformed(f"bad value in {name}: {line[:80]!r}") from None
-                known = isinstance(trouble, MissingTerm)
+                known = isinstance(trouble, BadTerm)
                 what = str(trouble) if known else f"{name}: {type(trouble).__name__}: {trouble}"
                 fault = f"FOR {about}\nBAIL_OUT {what}"
         reply = []
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,4 +1,5 @@
 import contextlib
+import copy
 import errno
 import os
 import signal
@@ -15,7 +16,7 @@
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ
 from orchidgap.net.places import decoded
-from orchidgap.net.serve import on_signal
+from orchidgap.net.serve import on_signal, read_anew
 from orchidgap.net.trip import Trip
 
 LIST = "/discovery/hosts"
@@ -175,7 +176,7 @@
 def test_a_fault_in_the_decisions_still_brings_an_answer():
     net = Net(expects=(ZeroDivisionError,))
     net.node.balancer.on_req = lambda *_: 1 / 0
-    assert heard(net.ask()).startswith("HTTP/1.1 500") and net.log.lines == ["ZeroDivisionError"]
+    assert heard(net.ask()).startswith("HTTP/1.1 500") and net.log.lines == ["serving", "ZeroDivisionError"]
     net = Net()
     net.node.balancer.on_req = lambda *_: None  # forgets it
     client = net.ask()
@@ -351,7 +352,7 @@
 def test_ready_only_with_list_and_until_told_to_stop():
     net = Net()
     assert heard(net.client(b"GET /up HTTP/1.1\r\n\r\n")).startswith("HTTP/1.1 200")
-    net.node.listed = False
+    net.node.leave()
     assert heard(net.client(b"GET /up HTTP/1.1\r\n\r\n")).startswith("HTTP/1.1 503")
 
 
@@ -431,6 +432,162 @@
     assert heard(link) is None, "pools are as they were"
 
 
+# --- drains
+
+def test_a_drain_turns_nobody_away_and_lets_all_go():
+    net = Net()
+    idle, busy = net.ask("k1"), net.ask("k2")
+    net.answers(net.far(0))
+    assert "close" not in heard(idle)
+    net.node.quiesce()
+    asked, late = net.ask("k3"), net.ask("k4")
+    net.wait(500_000)
+    assert heard(idle) is None and net.node.clients.listener is None
+    net.serve()
+    assert all("Connection: close" in heard(client) and heard(client) == "" for client in (busy, asked, late))
+    net.says(idle, REQ + b"\r\n")
+    net.serve()
+    assert "200" in (text := heard(idle)) and "Connection: close" in text, "a kept connection may be used once more"
+    for client in (idle, busy, asked, late):
+        client.close()
+    net.wait(600_000)
+    assert net.node.life.state.value == "drained" and net.loop.running and not net.node.clients.open
+
+
+def test_connections_that_ask_nothing_are_closed_by_a_drain_and_reqs_are_not_cut_off():
+    net = Net()
+    silent, half, idle, busy = net.client(), net.client(b"GET /read/k9 HTTP/1.1\r\n"), net.ask("k1"), net.ask("k2")
+    net.answers(net.far(0))
+    heard(idle)
+    net.node.quiesce()
+    net.wait(990_000)
+    assert heard(idle) is None
+    net.wait(20_000)
+    assert heard(idle) == "" == heard(silent) and heard(half) is None is heard(busy)
+    assert net.node.life.state.value == "draining"
+    net.says(half, "Request-Id: 9\r\nRequest-Timeout: 1\r\n\r\n")
+    net.serve()
+    assert "200" in heard(half) and "200" in heard(busy)
+    newcomer = net.client()  # let in, and kept for no longer than it takes to ask
+    net.wait(200_000)
+    assert heard(newcomer) is None
+    net.wait(100_000)
+    assert heard(newcomer) == ""
+    half.close()
+    busy.close()
+    net.wait(100_000)
+    assert net.node.life.state.value == "drained"
+
+
+def test_after_a_resume_all_is_as_before():
+    net = Net()
+    net.node.quiesce()
+    net.wait(2_000_000)
+    net.node.resume()
+    client = net.ask("k1")
+    net.serve()
+    assert "close" not in heard(client)
+    net.wait(5_000_000)
+    assert heard(client) is None
+    client.sendall(REQ + b"\r\n")
+    net.turn()
+    net.serve()
+    assert heard(client).startswith("HTTP/1.1 200")
+    net.node.quiesce()
+    net.node.resume()
+    net.wait(5_000_000)
+    assert heard(client) is None, "what the first drain had set up is off"
+    net.node.leave()
+    net.wait(450_000)
+    assert heard(client) == "" and not net.loop.running
+
+
+# --- new settings
+
+def rules(*names, **more):
+    return [{"name": name, "effect": "retryable", "client-timeout": 900_000} | more for name in names]
+
+
+@pytest.mark.parametrize(("spoilt", "why"), [
+    (b"", "is not JSON"), (b"{", "is not JSON"), (b"[]", "an object was expected"), (None, "No such file"),
+    (lambda file: file.pop("settings"), "settings is missing"), (lambda file: file.pop("discovery"), "discovery is missing"),
+    (lambda file: file["settings"].pop("rule-sets"), "settings.rule-sets is missing"),
+    (lambda file: file["settings"].update({"rule-sets": []}), "rule-sets.count"),
+    (lambda file: file["settings"]["rule-sets"][1].pop("effect"), "rule-sets.*.effect is missing"),
+    (lambda file: file["settings"]["rule-sets"][0].pop("name"), "rule-sets.*.name is missing"),
+    (lambda file: file["settings"]["ceilings"].pop("may-cancel"), "ceilings.may-cancel is missing"),
+    (lambda file: file["settings"]["ceilings"].update({"may-cancel": "yes"}), "is a text, where a yes or no was"),
+    (lambda file: file["settings"]["rule-sets"][1].update({"client-timeout": 0}), "must be over 0"),
+    (lambda file: file["settings"]["rule-sets"][1].update({"client-timeout": -5}), "must be over 0"),
+    (lambda file: file["settings"]["rule-sets"][1].update({"effect": "none"}), "must be one of"),
+    (lambda file: file["settings"]["rule-sets"][1].update({"name": "read"}), "a name of its own"),
+    (lambda file: file["settings"]["ceilings"].update({"most-dispatches": 0}), "must be over 0"),
+    (lambda file: file["settings"]["ceilings"].update({"most-dispatches": -1}), "must be over 0"),
+    (lambda file: file["settings"]["ceilings"].update({"most-dispatches": "many"}), "is a text, where a number was"),
+    (lambda file: file["settings"]["ceilings"].update({"conn-idle": 0}), "must be over 0"),
+    (lambda file: file["settings"]["guarantees"].update({"warm-after": -1}), "must not be under 0"),
+    (lambda file: file.update({"discovery": "nowhere"}), "not an address"),
+    (lambda file: file.update({"listen": 7}), "is a number, where a text was")])
+def test_a_spoilt_file_changes_nothing(tmp_path, spoilt, why):
+    path, net = tmp_path / "c", Net()
+    path.write_bytes(orjson.dumps(FILE))
+    net.node.station = start.read(str(path))
+    before, dialled = net.node.station, len(net.dialled)
+    if callable(spoilt):
+        spoilt(file := copy.deepcopy(FILE) | {"discovery": "127.0.0.1:8777"})
+        spoilt = orjson.dumps(file)
+    if spoilt is None:
+        path.unlink()
+    else:
+        path.write_bytes(spoilt)
+    told = []
+    net.node.note = lambda event, **facts: told.append((event, facts.get("why")))
+    read_anew(net.node, str(path))
+    assert net.node.station is before and len(net.dialled) == dialled and net.node.balancer.terms is not before.terms
+    assert [event for event, _ in told] == ["terms kept"] and why in told[0][1]
+
+
+FILE = {"name": "n", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:8500", "limits": {"memory_mb": 80},
+        "settings": {"rule-sets": rules("read", "once"), "customers": [{"name": "a", "share": 1.0}],
+                     "ceilings": {"most-dispatches": 3, "may-cancel": True, "conn-idle": 9_000_000},
+                     "guarantees": {"warm-after": 1_000_000}}}
+
+
+def test_new_settings_bind_new_reqs_and_open_ones_keep_theirs(tmp_path):
+    path, net = tmp_path / "c", Net(3)
+    path.write_bytes(orjson.dumps(FILE))
+    net.node.station = start.read(str(path))
+    net.node.decide(net.node.balancer.on_terms, net.node.station.terms)
+    old = net.ask("k1")
+    file = copy.deepcopy(FILE)
+    file["settings"]["rule-sets"] = rules("once", effect="fragile") + rules("fresh")
+    file["settings"]["ceilings"]["most-dispatches"] = 1
+    file["settings"]["customers"] = []
+    path.write_bytes(orjson.dumps(file))
+    for _ in range(2):  # told twice, as well
+        read_anew(net.node, str(path))
+    assert net.log.lines[-1] == "terms read"
+    assert heard(net.ask("k2")).startswith("HTTP/1.1 404"), "a class that was dropped is unknown to new reqs"
+    net.says(net.far(0), "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+    assert heard(old) is None, "the open one may still have another dispatch"
+    net.answers(net.far(1))
+    assert heard(old).startswith("HTTP/1.1 200")
+    fresh = net.ask("k3", rule_set="fresh")
+    net.says(net.far(), "HTTP/1.1 503 No\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n")
+    assert heard(fresh).startswith("HTTP/1.1 503"), "one dispatch and no more"
+
+
+def test_what_cannot_change_while_it_runs_is_told_and_waits(tmp_path):
+    path, net = tmp_path / "c", Net()
+    path.write_bytes(orjson.dumps(FILE))
+    net.node.station = start.read(str(path))
+    path.write_bytes(orjson.dumps(FILE | {"listen": "127.0.0.1:7071", "limits": {"memory_mb": 90}}))
+    told = []
+    net.node.note = lambda event, **facts: told.append(facts.get("at_next_start"))
+    read_anew(net.node, str(path))
+    assert told == [["listen", "memory_mb"]] and net.node.station.memory_mb == 80
+
+
 # --- pools
 
 def idle_links(net, many):
