The listener is inherited by its descriptor, so a second process serves beside the first

Cause: the second process of an upgrade could not bind the address that the platform holds, and exited with 1. What the two share is still to come.

--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -121,11 +121,29 @@
         self.parting: dict[Caller, None] = {}  # with their last answer; the longest first
         self.listener: socket.socket | None = None
         self.resting: Timer | None = None
+        self.away = False                      # another process lets clients in
         loop.later(SWEEP, self.sweep)
 
     def listen(self, address: Address) -> None:
-        self.listener = listener_at(address, BACKLOG)
-        self.loop.watch(self.listener, READ, self.accept)
+        self.inherit(listener_at(address, BACKLOG))
+
+    def inherit(self, listener: socket.socket) -> None:
+        """A socket that listens already; another process may hold it too."""
+        self.listener = listener
+        self.loop.watch(listener, READ, self.accept)
+
+    def look_away(self) -> None:
+        """Leave the listener to another process, for as long as that goes on."""
+        if self.listener and not self.away:
+            self.away = True
+            if not self.resting:
+                self.loop.unwatch(self.listener)
+
+    def look_back(self) -> None:
+        if self.listener and self.away:
+            self.away = False
+            if not self.resting:
+                self.loop.watch(self.listener, READ, self.accept)
 
     def accept(self, mask: int = READ, many: int = AT_A_TIME) -> None:
         for _ in range(many):
@@ -191,13 +209,13 @@
         self.loop.later(SWEEP, self.sweep)
 
     def rest(self) -> None:
-        if self.listener and not self.resting:
+        if self.listener and not self.resting and not self.away:
             self.loop.unwatch(self.listener)
             self.resting = self.loop.later(RESPITE, self.resume)
 
     def resume(self) -> None:
         self.resting = None
-        if self.listener:
+        if self.listener and not self.away:
             self.loop.watch(self.listener, READ, self.accept)
             self.accept()
 
@@ -209,12 +227,13 @@
     def shut(self) -> None:
         """Let nobody in any more."""
         if self.listener:
-            self.accept(many=BACKLOG)
-            listener, self.listener = self.listener, None
+            if not self.away:
+                self.accept(many=BACKLOG)
+                if not self.resting:
+                    self.loop.unwatch(self.listener)
             if self.resting:
                 self.resting.cancel()
-            else:
-                self.loop.unwatch(listener)
+            listener, self.listener = self.listener, None
             listener.close()
 
     def release(self) -> None:
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import os
 import signal
 import socket
 import time
@@ -13,6 +14,7 @@
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net import start
 from orchidgap.net.connection import Address
+from orchidgap.net.handover import inherited
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.node import Node, Parts
@@ -32,7 +34,11 @@
     if station.admin:
         operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume})
         listen(operators.listen, station.admin)
-    listen(node.clients.listen, station.listen)
+    passed = os.environ.get("GW_PASSED_SOCKET")
+    if passed:
+        node.clients.inherit(inherited(passed))
+    else:
+        listen(node.clients.listen, station.listen)
     log("listening", listen=text_of(station.listen), operators=station.admin and text_of(station.admin),
         hosts=len(station.known[3]), clients=node.clients.most, links=node.hosts.most)
     node.start()
