--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -80,7 +80,7 @@
     with listener() as passed:
         path = tmp_path / "c"
         path.write_bytes(orjson.dumps({
-            "name": "n", "listen": "127.0.0.1:%d" % passed.getsockname()[1], "discovery": "127.0.0.1:1", "seed": "7",
+            "name": "n", "listen": f"127.0.0.1:{passed.getsockname()[1]}", "discovery": "127.0.0.1:1", "seed": "7",
             "known": {"seq": 1, "whole": True, "hosts": [Net.entry(0)]},
             "settings": {"rule-sets": [{"name": "read", "effect": "retryable", "client-timeout": 900_000}]}}))
         process = subprocess.Popen(
