Large bodies flow with back-pressure; patience goes by what comes; pipelined reqs in order

Cause: answers over 1 MiB or ended by a close counted as broken, reqs over 64 KiB got 413, and what was not whole after 2.5 s was cut off. Change: net/flow.py; a reader of messages in a queue; answers over 64 KiB are the final one from their first byte on, of unknown length after a quarter of the response target; a req's body that flows counts and ages at its host from its last byte on (on_whole), and ends further dispatches once it is gone (on_spent); a flowing answer that breaks costs a credit (on_unfinished); 8 reqs may wait behind one; HEAD, HTTP/1.0 keep-alive, answers without length.

--- a/orchidgap/decisions/chain.py
+++ b/orchidgap/decisions/chain.py
@@ -118,7 +118,7 @@
         sent = req.sent[number]
         sent.verdict = verdict
         req.out -= 1
-        sent.host.out -= 1
+        sent.host.out -= not req.flows
         if over:
             self.end(req)
         self.sender.back(req, sent)
@@ -129,6 +129,11 @@
         if id in self.reqs:
             self.end(self.reqs[id])
 
+    def on_spent(self, id: int) -> None:
+        """Its body is not kept: no further dispatch can carry it."""
+        if req := self.reqs.get(id):
+            req.most = len(req.sent) - req.hops
+
     def on_report(self, id: str, rate: float) -> None:
         if id in self.hosts:
             self.hosts[id].rate = rate
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -63,6 +63,7 @@
     out: int = 0
     over: bool = False     # it has its final answer
     missed: bool = False   # a cache lacked the key, so it needs a fetch
+    flows: bool = False    # its body has yet to come whole: until then it does not count at its host
     waits: bool = False    # held by a stage
     hops: int = 0          # redirections followed
     bound: Host | None = None  # where the last of them sent it
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -305,14 +305,21 @@
         sent = Sent(req, host, desk.now)
         req.bound = None
         req.sent.append(sent)
-        req.out, host.out, req.waits = req.out + 1, host.out + 1, False
+        req.out, req.waits = req.out + 1, False
         desk.pool.count(host, 1)
         if not host.is_origin:
             desk.placement.placed += 1
             desk.pool.count(desk.placement.fleet, 1)
-        desk.later(max(desk.target * 6 // 10, 4 * host.lag * host.is_origin), self.late, sent)
+        if not req.flows:
+            self.begin(sent)
         desk.port.dispatch(req.id, host.id)
 
+    def begin(self, sent: Sent) -> None:
+        """It counts at its host, and its time runs: from now on, not while a slow client still sends."""
+        desk, host, sent.at = self.desk, sent.host, self.desk.now
+        host.out += 1
+        desk.later(max(desk.target * 6 // 10, 4 * host.lag * host.is_origin), self.late, sent)
+
     def late(self, sent: Sent) -> None:
         """A dispatch that is still out counts as a slow answer: its time-out would tell a second too late."""
         desk, req, host = self.desk, sent.req, sent.host
@@ -451,11 +458,11 @@
             self.ask_soon(terms.ask_within // 10)
 
     def on_req(self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str,
-               slot: int = -1) -> None:
+               slot: int = -1, flows: bool = False) -> None:
         if slot < 0:  # not the protocol's own
             slot = self.rng.randrange(SPACE) if key is None else crc_hqx(b"%d" % key, 0) & (SPACE - 1)
         req = Req(id, self.terms.rule_sets[rule_set], tenant, key, slot, write, self.now, self.now + left,
-                  self.terms.max_dispatches)
+                  self.terms.max_dispatches, flows=flows)
         self.reqs[id] = req
         self.admission.take(req)
 
@@ -466,6 +473,19 @@
         self.pool.follow()
         self.pump()
 
+    def on_whole(self, id: int, left: int) -> None:
+        """The last byte of a body that flows has come."""
+        if req := self.reqs.get(id):
+            req.flows, req.born, req.due = False, self.now, self.now + left
+            for sent in req.sent:
+                if not sent.verdict:
+                    self.sender.begin(sent)
+
+    def on_unfinished(self, id: str) -> None:
+        """An answer that had begun to reach its client broke off."""
+        if host := self.hosts.get(id):
+            host.credit = max(0.0, host.credit - 1.0)
+
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         self.failures = self.failures + 1 if scope == "failed" else 0
         if self.failures:
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -1,4 +1,4 @@
-"""Connections from clients over HTTP/1.1: read into reqs, answered once each."""
+"""Connections from clients over HTTP/1.1: read into reqs, answered once each, in their order."""
 
 from __future__ import annotations
 
@@ -7,22 +7,31 @@
 import httptools
 
 from orchidgap.http1 import codec
+from orchidgap.net.connection import Connection
 from orchidgap.net.doorway import Asked, Caller, Clients
+from orchidgap.net.flow import Upload
+
+STEP = 1 << 14  # bytes of a body that count as going on
+AHEAD = 8       # reqs that may wait behind one before nothing more is read
 
 
 class Client(Caller):
-    """One connection from a client; it carries one req at a time."""
+    """One connection from a client; one of its reqs is under way at a time."""
 
-    __slots__ = ("asked", "reader")
+    __slots__ = ("asked", "chunked", "flow", "giving", "last", "marked", "reader", "source")
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
         self.reader = codec.ReqReader()
         self.asked: Asked | None = None
+        self.flow: Upload | None = None  # the body of the req under way, while it comes
+        self.marked = 0                  # how far the req had come when its time began anew
+        self.giving = self.last = self.chunked = False  # of an answer that flows
+        self.source: Connection | None = None
         super().__init__(clients, sock)
 
     @property
     def came(self) -> int:
-        return self.conn.came
+        return self.reader.message.came
 
     @property
     def begun(self) -> bool:
@@ -34,28 +43,85 @@
             del self.clients.idle[self]
             self.clients.await_req(self)
         reader.feed(view)
-        if self.asked:
-            return  # sent before the answer: told when that is out
-        if reader.headed and not reader.whole and reader.fields.pop(b"expect", b""):
-            self.conn.send(codec.CONTINUE)
-        if reader.trouble:
-            self.refuse(reader.trouble)
-        elif reader.whole:
-            self.clients.unasked.pop(self, None)
+        for message in (reader.message, *reader.behind) if reader.behind else (reader.message,):
+            if not message.came and (message.whole or message.large):
+                message.came = self.conn.came
+        if len(reader.behind) >= AHEAD:
+            self.conn.hold(True)
+        self.step()
+
+    def step(self) -> None:
+        """As far as the oldest req has come: take it, or more of its body."""
+        message = self.reader.message
+        if self.conn.closing or not self.conn.open:
+            return
+        if self.flow:
+            self.flow_on()
+        elif self.asked or self.giving:
+            return  # those behind wait for its answer
+        elif message.trouble:
+            self.refuse(message.trouble)
+        elif message.whole or message.headed and message.large:
+            if message.whole:
+                self.clients.unasked.pop(self, None)
             self.take()
+        elif message.headed:
+            if message.fields.pop(b"expect", b"") and message.version == "1.1" and not message.size:
+                self.conn.send(codec.CONTINUE)
+            self.progress()
+
+    def progress(self) -> None:
+        """Patience goes by what comes, not by the whole time."""
+        message = self.reader.message
+        if not self.marked or message.size - self.marked >= STEP:
+            self.marked = max(1, message.size)
+            self.clients.await_req(self)
+
+    def flow_on(self) -> None:
+        message, flow = self.reader.message, self.flow
+        assert flow
+        if message.trouble:  # what is cut off here never runs
+            return self.stalled(message.trouble)
+        if parts := message.take():
+            flow.add(parts, message.whole)
+        elif message.whole:
+            flow.add([], True)
+        if message.whole:
+            message.came = self.conn.came
+            self.clients.unasked.pop(self, None)
+            self.flow = None
+            if self.asked:
+                self.asked.body_came()
+        elif self.conn.holds:  # it is held up here
+            self.clients.unasked.pop(self, None)
+        else:
+            self.progress()
+
+    def stalled(self, status: int = 408) -> None:
+        asked, self.asked = self.asked, None
+        if asked:
+            asked.hangup()
+        self.refuse(status)
+
+    def go_on(self) -> None:
+        """What had been read has gone on to its host."""
+        if self.flow:
+            self.flow.pace()
+            if not self.conn.holds and self not in self.clients.unasked:
+                self.clients.await_req(self)
 
     def take(self) -> None:
-        reader, door, fields = self.reader, self.clients.door, self.reader.fields
+        message, door, fields = self.reader.message, self.clients.door, self.reader.message.fields
         try:
-            first, key = codec.split(reader.target)
+            first, key = codec.split(message.target)
         except httptools.HttpParserInvalidURLError:
             return self.refuse(400)
-        method = reader.parser.get_method()
-        if reader.parser.get_http_version() not in ("1.0", "1.1"):
+        method = message.method
+        if message.version not in ("1.0", "1.1"):
             return self.refuse(505)
-        if method not in (b"GET", b"PUT"):
+        if method not in (b"GET", b"PUT", b"HEAD"):
             return self.refuse(405)
-        if (method, first, key) == (b"GET", "up", b""):
+        if (first, key) == ("up", b"") and method != b"PUT":
             return self.answer(200 if door.ready() else 503)
         rule_set = fields.get(b"request-class", first.encode()).decode(errors="replace")
         if not door.knows(rule_set):
@@ -66,30 +132,90 @@
             return self.refuse(400)
         if door.holds(id):  # one answer would go to the wrong one, and hosts refuse the other
             return self.refuse(409)
-        body = b"".join(reader.body)
-        head = codec.onward(method, reader.target, fields, body)
         tenant = fields.get(b"tenant", b"").decode(errors="replace")
-        door.take(self, id, rule_set, left, method == b"PUT", key, tenant, head, body)
-
-    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
-        reader, self.asked = self.reader, None
-        last = not reader.extra and (self.clients.last or not reader.lasts)
-        self.conn.send(codec.answer(status, len(body), last, pause), body)
-        if reader.extra:
-            self.refuse(400)  # it did not wait for its answer
-        elif last:
-            self.part()
-        elif self.conn.open:
-            reader.reset()
+        if message.whole:
+            body = b"".join(message.take())
+            head = codec.onward(method, message.target, fields, len(body))
+            return door.take(self, id, rule_set, left, method == b"PUT", key, tenant, head, body)
+        if fields.pop(b"expect", b"") and message.version == "1.1" and not message.size:
+            self.conn.send(codec.CONTINUE)
+        self.flow = Upload(self.conn, message.length, codec.KEPT)
+        self.flow.add(message.take(), False)
+        self.marked = max(1, message.size)
+        self.clients.await_req(self)
+        head = codec.onward(method, message.target, fields, message.length)
+        door.take(self, id, rule_set, left, method == b"PUT", key, tenant, head, b"", flow=self.flow)
+
+    # --- its answer
+
+    def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
+        message, self.asked = self.reader.message, None
+        last = self.clients.last or not (message.whole and message.lasts)
+        head = codec.answer(status, len(body) if length is None else length, last, pause, message.version)
+        self.conn.send(head, b"" if message.method == b"HEAD" else body)
+        self.done(last)
+
+    def begin(self, length: int | None, source: Connection) -> None:
+        message = self.reader.message
+        self.giving, self.source = True, source
+        self.chunked = length is None and message.version == "1.1"
+        self.last = (self.clients.last or not (message.whole and message.lasts)
+                     or length is None and not self.chunked)
+        self.conn.drained = self.read_on
+        self.conn.send(codec.answer(200, length, self.last, 0, message.version))
+
+    def give(self, parts: list[bytes]) -> None:
+        if parts and self.conn.open:
+            self.conn.send(*(codec.chunk(parts) if self.chunked else parts))
+            if self.source and self.conn.out:
+                self.source.hold(True)
+
+    def read_on(self) -> None:
+        if self.source and self.source.open:
+            self.source.hold(False)
+
+    def end(self, whole: bool) -> None:
+        self.giving, self.source, self.asked, self.conn.drained = False, None, None, None
+        if not whole:
+            self.conn.reset()
+            return self.close()
+        if self.chunked:
+            self.conn.send(codec.LAST_CHUNK)
+        self.done(self.last)
+
+    def done(self, last: bool) -> None:
+        """The oldest req has its answer."""
+        reader = self.reader
+        self.flow = None
+        if not self.conn.open:
+            return
+        if last:
+            self.clients.unasked.pop(self, None)
+            self.conn.hold(False)
+            return self.part()
+        reader.next()
+        self.marked = 0
+        if len(reader.behind) < AHEAD:
+            self.conn.hold(False)
+        if reader.begun:
+            self.clients.await_req(self)
+            self.clients.loop.soon(self.step)
+        else:
             self.clients.idle[self] = None
             self.clients.trim()
 
     def refuse(self, status: int) -> None:
         self.clients.unasked.pop(self, None)
+        self.flow = None
         if self.conn.open and not self.conn.closing:
+            self.conn.hold(False)
             self.conn.send(codec.answer(status, last=True))
             self.part()
 
+    def quiet(self) -> bool:
+        return not (self.asked or self.giving) and super().quiet()
+
     def hangup(self) -> None:
-        if self.asked:
-            self.asked.hangup()
+        asked, self.asked = self.asked, None
+        if asked:
+            asked.hangup()
--- a/orchidgap/http1/registry.py
+++ b/orchidgap/http1/registry.py
@@ -69,29 +69,29 @@
 
     def received(self, view: memoryview) -> None:
         self.reader.feed(view)
-        if self.reader.trouble or not self.out:
+        if self.reader.message.trouble or not self.out:
             self.ended("no proper answer")
-        elif self.reader.whole:
+        elif self.reader.message.whole:
             self.out = False
             self.answered()
 
     def answered(self) -> None:
         reader = self.reader
         try:
-            if reader.status != 200:
-                raise ValueError(f"status {reader.status}")
-            version, whole, entries, found = decoded(orjson.loads(b"".join(reader.body)))
+            if reader.message.status != 200:
+                raise ValueError(f"status {reader.message.status}")
+            version, whole, entries, found = decoded(orjson.loads(reader.message.body))
             if self.version is None and not whole:
                 raise ValueError("changes to a list that is not held")
         except (ValueError, TypeError, KeyError, AttributeError) as trouble:
-            if reader.status == 200:
+            if reader.message.status == 200:
                 self.version = None  # the same changes would be as bad when asked for again
             return self.ended(f"bad answer: {trouble!r}"[:120])
         if self.failures:
             self.log("list back", failures=self.failures)
         behind = self.version is not None and version < self.version and not whole
         self.failures, self.version = 0, None if behind else version  # it counts anew, so it has forgotten
-        if not reader.lasts:
+        if not reader.message.lasts:
             self.drop()
         if whole or entries:
             self.heard(whole, entries, found)
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -6,23 +6,27 @@
 from collections import deque
 from collections.abc import Callable
 
-from orchidgap.http1.codec import MOST_ANSWER, AnswerReader
+from orchidgap.http1.codec import LAST_CHUNK, AnswerReader, chunk
 from orchidgap.net import pools
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken, dial
 from orchidgap.net.loop import Loop, Timer
-from orchidgap.net.trip import Trip
+from orchidgap.net.trip import Taker, Trip
 
 SWEEP = 1_000_000
+STALL = 10_000_000  # for a host to give more of an answer that flows
 
 
 class Link:
     """One connection to a host: opening, idle, or carrying one trip."""
 
-    __slots__ = ("conn", "idle_since", "pool", "reader", "start", "timer", "trip")
+    __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "taker", "timer",
+                 "trip")
 
     def __init__(self, pool: Pool, sock: socket.socket, trip: Trip) -> None:
-        self.pool, self.reader = pool, AnswerReader(MOST_ANSWER)
-        self.idle_since = self.start = 0
+        self.pool, self.reader = pool, AnswerReader()
+        self.idle_since = self.start = self.heard_at = 0
+        self.chunked = False              # the body under way goes in chunks
+        self.taker: Taker | None = None   # of the answer, once it flows
         self.trip: Trip | None = trip
         trip.link = self
         self.conn = Connection(pool.hosts.loop, sock, self, opening=True)
@@ -32,7 +36,8 @@
     def reach(self) -> Reach:
         if self.conn.opening or self.conn.taken == self.start:
             return Reach.UNSENT
-        return Reach.PARTLY if self.conn.out else Reach.WHOLE
+        flows = self.trip and self.trip.flow and not self.trip.flow.whole
+        return Reach.PARTLY if self.conn.out or flows else Reach.WHOLE
 
     def drop(self, trip: Trip) -> Reach:
         """The host sees its connection close: there is no other way to tell it."""
@@ -43,35 +48,105 @@
     def opened(self) -> None:
         if self.timer:
             self.timer.cancel()
+            self.timer = None
         if self.trip:
             self.carry(self.trip)
 
     def carry(self, trip: Trip) -> None:
         self.trip, trip.link = trip, self
-        self.start = self.conn.taken
-        self.reader.reset()
+        self.start, self.heard_at = self.conn.taken, self.pool.hosts.loop.now
+        if trip.bare or self.reader.bare:
+            self.reader.renew(trip.bare)
+        else:
+            self.reader.reset()
         left = max(1, trip.due - self.pool.hosts.loop.now)
         self.conn.send(trip.head, b"Request-Timeout: %.3f\r\n\r\n" % (left / 1e6), trip.body)
+        if trip.flow and self.conn.open:
+            self.chunked = trip.flow.length is None
+            self.conn.drained = trip.flow.pace
+            trip.flow.to(self)
+
+    def put(self, parts: list[bytes], last: bool) -> None:
+        if self.chunked:
+            parts = chunk(parts) + ([LAST_CHUNK] if last else [])
+        if parts and self.conn.open:
+            self.conn.send(*parts)
 
     def received(self, view: memoryview) -> None:
         if self.trip is None:  # nobody asked: what it would answer next cannot be trusted
             return self.ended("spoke unasked")
-        reader = self.reader
+        reader, message = self.reader, self.reader.message
+        self.heard_at = self.pool.hosts.loop.now
         reader.feed(view)
-        if reader.whole:
-            trip, self.trip = self.trip, None
-            verdict = verdict_of(reader.status, reader.fields.get(b"not-started") == b"1")
-            body = b"".join(reader.body)
-            if reader.extra or self.conn.out or not reader.lasts:
-                self.close()
-            else:
-                self.pool.rest(self)
-            trip.settle(verdict, body)
-        elif reader.trouble:
+        if message.trouble:
             self.ended("no proper answer")
+        elif self.taker:
+            self.taker.give(message.take())
+            if message.whole:
+                self.done("done")
+        elif message.whole:
+            self.done(verdict_of(message.status, message.fields.get(b"not-started") == b"1"))
+        elif message.headed and message.status != 200:
+            if message.large:  # what it says matters, not all of its words
+                self.done(verdict_of(message.status, message.fields.get(b"not-started") == b"1"))
+        elif message.large:
+            self.begin(self.trip)
+        elif message.headed and message.length is None and not self.timer:
+            self.timer = self.pool.hosts.loop.later(self.trip.hold, self.begin, self.trip)
+
+    def begin(self, trip: Trip) -> None:
+        """The answer is too large to be kept, or too slow to see how large it is: it flows from here on."""
+        if self.trip is not trip or self.taker or self.reader.message.whole:
+            return
+        self.forget_timer()
+        taker = trip.begin() if trip.begin else None
+        if taker is None:
+            return self.ended("not wanted")
+        self.taker = taker
+        self.pool.hosts.flows[self] = None
+        taker.begin(self.reader.message.length, self.conn)
+        if self.taker:
+            taker.give(self.reader.message.take())
+
+    def done(self, verdict: str) -> None:
+        """The answer is there, or what matters of it."""
+        trip, reader, message = self.trip, self.reader, self.reader.message
+        assert trip
+        body = b"".join(message.take()) if message.whole else b""
+        trip.length = message.length
+        lasts = message.whole and message.lasts and not (reader.extra or self.conn.out or self.flows(trip))
+        self.clear()
+        if lasts:
+            self.pool.rest(self)
+        else:
+            self.close()
+        trip.settle(verdict, body)
+
+    @staticmethod
+    def flows(trip: Trip) -> bool:
+        return trip.flow is not None and not trip.flow.whole
+
+    def clear(self) -> None:
+        """It carries nothing any more."""
+        trip, self.trip, self.taker, self.conn.drained = self.trip, None, None, None
+        self.pool.hosts.flows.pop(self, None)
+        self.forget_timer()
+        self.conn.hold(False)
+        if trip and trip.flow:
+            trip.flow.leave(self)
+
+    def forget_timer(self) -> None:
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
 
     def ended(self, what: str) -> None:
-        trip, self.trip = self.trip, None
+        trip = self.trip
+        if trip and what == "closed" and self.reader.begun and self.reader.ended():
+            if self.taker:
+                self.taker.give(self.reader.message.take())
+                return self.done("done")
+            return self.done(verdict_of(self.reader.message.status, False))
         stale = trip is not None and self.idle_since > 0 and not self.reader.begun
         cause = "stale" if stale else broken(what) if self.conn.opening else "broken"
         fault = Fault(self.reach(), cause, what)
@@ -83,9 +158,7 @@
             self.pool.hosts.loop.soon(trip.settle, fault.verdict)
 
     def close(self) -> None:
-        if self.timer:
-            self.timer.cancel()
-        self.trip = None
+        self.clear()
         self.conn.close()
         self.pool.forget(self)
 
@@ -155,6 +228,7 @@
                  dial: Callable[[Address], socket.socket | Fault] = dial) -> None:
         super().__init__(loop, most, connect_within, SWEEP, dial)
         self.idle_for = idle_for
+        self.flows: dict[Link, None] = {}  # links whose answers flow
 
     def bound(self, connect_within: int, idle_for: int) -> None:
         super().bound(connect_within, idle_for)
@@ -173,3 +247,8 @@
         for pool in self.pools.values():
             while pool.idle and pool.worn(pool.idle[0]):
                 pool.idle[0].close()
+        for link in list(self.flows):
+            if link.conn.holds:  # it waits for the client
+                link.heard_at = self.loop.now
+            elif self.loop.now - link.heard_at > STALL:
+                link.ended("silence")
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from enum import IntEnum
 from typing import NamedTuple, Protocol
@@ -15,11 +15,13 @@
 from orchidgap.net.loop import READ, WRITE, Loop, Timer
 
 LINGER = 1_000_000    # for the other side to close once it has our last words
-UNREAD = 10_000_000   # for the other side to read what is written
+LEFTOVER = 8_000_000  # and at most, while it still sends what nobody reads
+UNREAD = 10_000_000   # for the other side to read on in what is written
 MOST_OUT = 1 << 21    # bytes waiting to be written: the largest answer, and what is said behind it
 UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
 SO_TIMESTAMPNS = 35   # Linux: the kernel tells when what is read came in
 STAMP = struct.Struct("qq")
+RESET = struct.pack("ii", 1, 0)
 OLDEST = 60_000_000   # a stamp older than this tells of a clock that was set
 REFUSED = frozenset(map(os.strerror, (errno.ECONNREFUSED, errno.ECONNRESET)))
 SHORT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
@@ -129,17 +131,19 @@
 
 
 class Connection:
-    __slots__ = ("came", "closing", "holds", "loop", "mask", "opening", "out", "owner", "sock", "stamped",
-                 "taken", "timer")
+    __slots__ = ("came", "closing", "drained", "holds", "loop", "mask", "moved", "opening", "out", "owner",
+                 "sock", "stamped", "taken", "timer", "until")
 
     def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False,
                  stamped: bool = False) -> None:
         self.loop, self.sock, self.owner, self.opening = loop, sock, owner, opening
         self.out = bytearray()
         self.taken = 0        # bytes that the kernel has taken so far
+        self.drained: Callable[[], None] | None = None  # told when all that was to be written has been taken
         self.closing = False  # nothing more is sent, what still comes is dropped
         self.holds = False    # nothing more is read for now: there is no room for what would come of it
         self.timer: Timer | None = None  # ends it unless the other side reads, or closes
+        self.moved = self.until = 0      # when it last did; when it ends whatever it does
         self.stamped, self.came = False, 0  # when what was read last came in, as far as that is known
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
@@ -184,7 +188,8 @@
         if not count:
             return self.end("closed")
         if not self.closing:
-            self.owner.received(self.loop.buffer[:count])
+            return self.owner.received(self.loop.buffer[:count])
+        self.moved = self.loop.now
 
     def receive(self) -> int:
         """Without a stamp, what is there now may have come at any time since the loop last looked."""
@@ -214,6 +219,8 @@
             if not self.timer:
                 self.end_in(UNREAD)
             self.rewatch()
+        elif count:
+            self.moved = self.loop.now
         if len(self.out) > MOST_OUT:
             self.end("not read")
 
@@ -222,6 +229,7 @@
             while self.out:
                 count = self.sock.send(self.out)
                 self.taken += count
+                self.moved = self.loop.now
                 del self.out[:count]
         except BlockingIOError:
             pass
@@ -231,11 +239,24 @@
             self.rest()
             if self.closing:
                 self.hush()
+            elif self.drained:
+                self.drained()
         self.rewatch()
 
-    def end_in(self, delay: int) -> None:
+    def end_in(self, delay: int, most: int = 0) -> None:
+        """Unless the other side moves; and after `most` whatever it does."""
         self.rest()
-        self.timer = self.loop.later(delay, self.end, "not read")
+        self.moved = self.loop.now
+        self.until = self.moved + most if most else 0
+        self.timer = self.loop.later(delay, self.look, delay)
+
+    def look(self, delay: int) -> None:
+        still = self.moved + delay - self.loop.now
+        if still <= 0 or self.until and self.loop.now >= self.until:
+            return self.end("not read")
+        if self.until:
+            still = min(still, self.until - self.loop.now)
+        self.timer = self.loop.later(still, self.look, delay)
 
     def rest(self) -> None:
         if self.timer:
@@ -279,7 +300,7 @@
                 self.hush()
 
     def hush(self) -> None:
-        self.end_in(LINGER)
+        self.end_in(LINGER, LEFTOVER)
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError as error:
@@ -290,6 +311,13 @@
             self.close()
             self.owner.ended(what)
 
+    def reset(self) -> None:
+        """Close so that the other side can tell that what it got is not all."""
+        if self.open:
+            with suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            self.close()
+
     def close(self) -> None:
         if self.open:
             self.rest()
--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -9,6 +9,7 @@
 
 from orchidgap.decisions.lifecycle import Life
 from orchidgap.net.connection import SHORT, Address, Connection, listener_at
+from orchidgap.net.flow import Upload
 from orchidgap.net.loop import READ, Loop, Timer
 
 PATIENCE = 2_500_000    # for a req to come whole, since its connection or its first byte came
@@ -27,6 +28,9 @@
     def hangup(self) -> None:
         """Its client has gone away."""
 
+    def body_came(self) -> None:
+        """The last byte of a body that flows is there; `came` says since when."""
+
 
 class Answered(Protocol):
     """Whoever is owed the answer to one req; the codes are 200, 400, 500 and 503, whatever is spoken."""
@@ -37,7 +41,8 @@
     def came(self) -> int:
         """When its last byte came, in microseconds of the loop's clock."""
 
-    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None: ...
+    def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
+        """The whole answer. `length` is what its head tells where it has no body."""
 
 
 class Door(Protocol):
@@ -54,9 +59,9 @@
         """Close an idle connection elsewhere; whether there was one."""
 
     def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
-             tenant: str, head: bytes, body: bytes, slot: int = -1) -> None:
+             tenant: str, head: bytes, body: bytes, slot: int = -1, flow: Upload | None = None) -> None:
         """Sets `caller.asked`, and has `caller.answer` called once. `left` is in microseconds; a slot below 0
-        is drawn from the key."""
+        is drawn from the key. A body that flows is not in `body`; `asked.body_came` is called at its end."""
 
 
 class Caller:
@@ -81,6 +86,10 @@
         """A plain word on why nothing more is taken from it: 408 for silence, 503 for no room."""
         raise NotImplementedError
 
+    def stalled(self) -> None:
+        """It began, and does not go on."""
+        self.refuse(408)
+
     def hangup(self) -> None:
         """It has gone: what it asked for is of no use any more."""
         raise NotImplementedError
@@ -173,14 +182,16 @@
         client.conn.ready(READ)  # what it asks has mostly come with it
 
     def await_req(self, client: Caller) -> None:
+        """Its time to bring a whole req begins, or begins anew."""
         client.since = self.loop.now
+        self.unasked.pop(client, None)
         self.unasked[client] = None
 
     def shed(self) -> bool:
         """Close a connection that nobody needs; whether there was one. Silence must not keep others out."""
-        gone = next(filter(Caller.quiet, self.unasked), None)
+        gone = next((client for client in self.unasked if client.quiet()), None)
         if not gone or self.loop.now - gone.since < SETTLED:
-            gone = next(filter(Caller.quiet, self.idle), None) or gone
+            gone = next((client for client in self.idle if client.quiet()), None) or gone
         if gone:
             gone.close()
         return gone is not None
@@ -205,7 +216,7 @@
     def sweep(self) -> None:
         """Nobody may begin and never end; one that said nothing at all is closed without a word."""
         while (client := next(iter(self.unasked), None)) and self.loop.now - client.since >= PATIENCE:
-            client.refuse(408) if client.begun else client.close()
+            client.stalled() if client.begun else client.close()
         self.loop.later(SWEEP, self.sweep)
 
     def rest(self) -> None:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -6,20 +6,22 @@
 from collections.abc import Callable
 from functools import partial
 from hashlib import blake2b
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 from orchidgap.decisions.lifecycle import LAST_WORDS, Life, State
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
+from orchidgap.net.flow import Upload
 from orchidgap.net.log import Log
-from orchidgap.net.loop import Loop
+from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import Entry, Place
 from orchidgap.net.pools import Pools
 from orchidgap.net.start import Station
-from orchidgap.net.trip import Trip
+from orchidgap.net.trip import Taker, Trip
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
+UPLOAD = 3_600_000_000  # the time of a req whose body is not whole: it goes by what comes, see the front
 TICK = 10_000
 AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin")  # of what a new file may bring
 LONG_KEY = 32
@@ -41,29 +43,76 @@
 class Exchange:
     """One req on the network, from its last byte to its answer and the last of its dispatches."""
 
-    __slots__ = ("body", "client", "due", "head", "id", "name", "node", "over", "timer", "trips")
+    __slots__ = ("body", "client", "due", "flow", "giving", "head", "id", "left", "name", "node", "over",
+                 "timer", "trips")
 
     def __init__(self, node: Node, id: int, name: bytes, client: Answered, head: bytes, body: bytes,
-                 due: int) -> None:
-        self.node, self.id, self.client, self.head, self.body, self.due = node, id, client, head, body, due
+                 left: int, flow: Upload | None) -> None:
+        self.node, self.id, self.client, self.head, self.body, self.left = node, id, client, head, body, left
         self.name = name  # its id with the client
         node.names.add(name)
         self.over = False
+        self.giving: Trip | None = None  # whose answer flows to the client
         self.trips: list[Trip] = []
-        self.timer = node.loop.at(due, self.overdue)
-
-    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
+        self.flow = flow  # its body, while that comes
+        self.timer: Timer | None = None
+        self.due = node.loop.now + UPLOAD
+        if flow:
+            flow.on_gone = self.body_gone
+        else:
+            self.body_came()
+
+    def body_came(self) -> None:
+        """Its last byte is there: from here on its time runs."""
+        # the client counts from its send, which a loop that was held up learns late
+        self.due = self.client.came + self.left - min(GUARD, self.left // 4)
+        if not self.over:
+            self.timer = self.node.loop.at(self.due, self.overdue)
+            if self.flow:
+                for trip in self.trips:
+                    trip.due = self.due
+                self.node.decide(self.node.balancer.on_whole, self.id, max(0, self.due - self.node.loop.now),
+                                 exchange=self)
+
+    def body_gone(self) -> None:
+        """It cannot be sent another time."""
+        self.node.decide(self.node.balancer.on_spent, self.id, exchange=self)
+
+    def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
         if not self.over:
             self.close()
-            self.client.answer(status, body, pause)
+            self.client.answer(status, body, pause, length)
 
     def close(self) -> None:
         self.over = True
-        self.timer.cancel()
+        if self.timer:
+            self.timer.cancel()
+        if not self.giving:
+            self.node.names.discard(self.name)
+            self.node.tidy(self)
+
+    def begin(self, number: int) -> Taker | None:
+        """The answer of this dispatch is the final one, and its body follows."""
+        if self.over:
+            return None
+        self.giving = self.trips[number]
+        self.close()
+        self.node.decide(self.node.balancer.on_outcome, self.id, number, "done", True)
+        return cast(Taker, self.client)  # only pools whose door takes flows ask
+
+    def given(self, whole: bool) -> None:
+        """What there is of that body has been passed on."""
+        trip, self.giving = self.giving, None
         self.node.names.discard(self.name)
-        self.node.tidy(self)
+        cast(Taker, self.client).end(whole)
+        if not whole and trip:
+            self.node.decide(self.node.balancer.on_unfinished, trip.host)
 
     def hangup(self) -> None:
+        if self.giving:
+            trip, self.giving = self.giving, None
+            self.node.names.discard(self.name)
+            self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
         if not self.over:
             self.close()
             self.node.decide(self.node.balancer.on_hangup, self.id)
@@ -83,8 +132,12 @@
             to = self.trips[number].to
             self.node.decide(self.node.balancer.on_moved, self.id, number, to, exchange=self)
             return self.node.tidy(self)
+        if self.giving is self.trips[number]:
+            self.given(verdict == "done")
+            return self.node.tidy(self)
         if verdict in ("done", "unfit"):
-            self.answer(200 if verdict == "done" else 400, body)
+            trip = self.trips[number]
+            self.answer(200 if verdict == "done" else 400, body, length=trip.length if trip.bare else None)
         self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
         self.node.tidy(self)
 
@@ -152,14 +205,13 @@
         return self.hosts.shed()
 
     def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
-             tenant: str, head: bytes, body: bytes, slot: int = -1) -> None:
+             tenant: str, head: bytes, body: bytes, slot: int = -1, flow: Upload | None = None) -> None:
         self.count += 1
-        # the client counts from its send, which a loop that was held up learns late
-        due = caller.came + left - min(GUARD, left // 4)
         exchange = caller.asked = self.reqs[self.count] = Exchange(
-            self, self.count, id, caller, head, body, due)
-        self.decide(self.balancer.on_req, self.count, max(0, due - self.loop.now), write, rule_set,
-                    number_of(key), tenant, *([slot] if slot >= 0 else ()), exchange=exchange)
+            self, self.count, id, caller, head, body, left, flow)
+        more = [slot] if slot >= 0 or flow else []
+        self.decide(self.balancer.on_req, self.count, max(0, exchange.due - self.loop.now), write, rule_set,
+                    number_of(key), tenant, *more, *([True] if flow else ()), exchange=exchange)
 
     def on_list(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
         self.hosts.follow(whole, found)
@@ -185,7 +237,10 @@
     def dispatch(self, req: int, host: str) -> None:
         exchange = self.reqs[req]
         back = partial(exchange.came_back, len(exchange.trips))
-        trip = Trip(exchange.head, exchange.body, exchange.due, back)
+        trip = Trip(exchange.head, exchange.body, exchange.due, back, exchange.flow,
+                    partial(exchange.begin, len(exchange.trips)))
+        trip.host, trip.hold = host, self.station.terms.target // 4
+        trip.bare = exchange.head.startswith(b"HEAD ")
         last = exchange.trips[-1] if exchange.trips else None
         trip.asking = last is not None and last.ask and last.to == host
         exchange.trips.append(trip)
--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -48,7 +48,7 @@
         self.slot, self.write = -1, False
         self.after: Callable[[], None] | None = None  # asks, once it may
 
-    def answer(self, status: int, body: bytes = b"", pause: int = 0) -> None:
+    def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
         """The outcome codes that all protocols share, as RESP words them."""
         self.asked = None
         if status == 503:
--- a/orchidgap/trial/listing.py
+++ b/orchidgap/trial/listing.py
@@ -157,13 +157,13 @@
 
     def received(self, view: memoryview) -> None:
         self.reader.feed(view)
-        if self.reader.trouble:
+        if self.reader.message.trouble:
             return self.conn.end("bad call")
-        if self.reader.whole and not self.pending:
+        if self.reader.message.whole and not self.pending:
             self.asked()
 
     def asked(self) -> None:
-        parts = urlsplit(self.reader.target.decode())
+        parts = urlsplit(self.reader.message.target.decode())
         query = parse_qs(parts.query)
         self.after = int(query["after"][0]) if "after" in query else None
         wait = int(query.get("wait_ms", ["0"])[0]) * 1000
@@ -194,7 +194,7 @@
         if whole or entries:
             agent.tell(seq, whole, entries)
         body = orjson.dumps({"seq": seq, "whole": whole, "hosts": entries})
-        self.reader.reset()
+        self.reader.next()
         self.conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body), body)
 
     def ended(self, what: str) -> None:
