--- a/tests/http1/test_codec.py
+++ b/tests/http1/test_codec.py
@@ -1,5 +1,7 @@
 """Framing: any split of the same bytes reads the same; what is ambiguous is turned down."""
 
+from itertools import pairwise
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -21,7 +23,7 @@
 
 def cut(text, places):
     ends = sorted({place % (len(text) + 1) for place in places} | {0, len(text)})
-    return [text[start:end] for start, end in zip(ends, ends[1:])]
+    return [text[start:end] for start, end in pairwise(ends)]
 
 
 def told(message):
