An upgrade hands over what is known, and the connections themselves

Need: two processes of one balancer must hold rules, limits and descriptors together, and no req may meet a closed connection. A killed companion is known by the end of the socket, a foreign or damaged word costs the passage only, no folder means half the descriptors.

--- a/orchidgap/decisions/chain.py
+++ b/orchidgap/decisions/chain.py
@@ -134,6 +134,11 @@
         if req := self.reqs.get(id):
             req.most = len(req.sent) - req.hops
 
+    def on_away(self, outs: dict[str, int]) -> None:
+        """What other processes of this balancer have out, by host."""
+        for id, host in self.hosts.items():
+            host.away = outs.get(id, 0)
+
     def on_report(self, id: str, rate: float) -> None:
         if id in self.hosts:
             self.hosts[id].rate = rate
--- a/orchidgap/decisions/lifecycle.py
+++ b/orchidgap/decisions/lifecycle.py
@@ -88,6 +88,16 @@
         self.changes += 1
         return True
 
+    @property
+    def hands_over(self) -> bool:
+        """Whether connections go to another process as they are, in place of being let go."""
+        return self.heir and self.state is State.LEAVING
+
+    @property
+    def last(self) -> bool:
+        """Whether an answer is the last on its connection."""
+        return self.means.last and not self.hands_over
+
     def admits(self, now: int) -> bool:
         """Whether new connections are let in."""
         until = self.means.admits_for
@@ -111,4 +121,4 @@
     def lets_go(self, now: int) -> bool:
         """Whether connections that ask nothing are closed."""
         after = self.means.quiet_after
-        return after is not None and now - self.since >= after
+        return after is not None and not self.hands_over and now - self.since >= after
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -23,6 +23,7 @@
     rating: float = 1.0
     size: int = 0          # of its range, in slots
     out: int = 0           # dispatches out
+    away: int = 0          # dispatches out that another process of this balancer has there
     limit: float = 0.0     # how many may be out
     floor: float = 1.0     # below which the limit does not fall
     cut_at: int = 0        # when the limit was last lowered
@@ -37,6 +38,11 @@
     warm_at: int = 0       # cold until then
     seen: int = 0          # reqs that had been placed when it last had its chance, while cold
 
+    @property
+    def load(self) -> int:
+        """Dispatches out, from all processes of this balancer."""
+        return self.out + self.away
+
 
 @dataclass(slots=True, eq=False)
 class Sent:
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -273,11 +273,11 @@
     def choose(self, req: Req) -> Host | None:
         ready = [host for host in self.hosts if self.desk.now >= host.shun_until and self.desk.fits(host)
                  and self.desk.may_repeat(req, host)]  # another origin may not drop a repeat
-        return min(ready, key=lambda host: host.out) if ready else None
+        return min(ready, key=lambda host: host.load) if ready else None
 
     def spare(self) -> bool:
         """Whether it could take a read that no cache has been asked for, and keep most of its room."""
-        return not self.held and any(host.out * 2 < host.limit - 1 and self.desk.now >= host.shun_until
+        return not self.held and any(host.load * 2 < host.limit - 1 and self.desk.now >= host.shun_until
                                      for host in self.hosts)
 
     def hopeless(self, req: Req) -> bool:
@@ -371,14 +371,14 @@
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
             host.limit = self.desk.chance(host)
-        elif host.out >= host.limit // 2:
+        elif host.load >= host.limit // 2:
             host.limit += 1 / host.limit if host.cut_at else 1.0  # the start is low, so left fast
 
     def cut(self, host: Host, by: float) -> None:
         if self.desk.now - host.cut_at > host.lag:  # once in the time that an answer takes
             limit = max(host.limit, self.desk.chance(host))
             floor = host.floor if host.lag < self.desk.target // 2 else min(host.floor, 1.0 + host.is_origin)
-            host.limit = max(floor, min(limit, (1 + host.is_origin) * (host.out + 1)) * by)
+            host.limit = max(floor, min(limit, (1 + host.is_origin) * (host.load + 1)) * by)
             host.cut_at = self.desk.now
 
 
@@ -550,8 +550,8 @@
     def fits(self, host: Host) -> bool:
         """Limits of hundreds of balancers add up: below one, a limit is the chance that a lone req goes."""
         if host.limit >= 1.0:
-            return host.out < host.limit
-        return not host.out and self.rng.random() < self.chance(host)
+            return host.load < host.limit
+        return not host.load and self.rng.random() < self.chance(host)
 
     def chance(self, host: Host) -> float:
         """It recovers with time: where little goes, no answers come that could raise it."""
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -18,6 +18,7 @@
 class Client(Caller):
     """One connection from a client; one of its reqs is under way at a time."""
 
+    movable = True
     __slots__ = ("asked", "chunked", "flow", "giving", "last", "marked", "reader", "source")
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -5,6 +5,7 @@
 import socket
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from orchidgap.http1.codec import LAST_CHUNK, AnswerReader, chunk
 from orchidgap.net import pools
@@ -22,16 +23,17 @@
     __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "taker", "timer",
                  "trip")
 
-    def __init__(self, pool: Pool, sock: socket.socket, trip: Trip) -> None:
+    def __init__(self, pool: Pool, sock: socket.socket, trip: Trip | None) -> None:
         self.pool, self.reader = pool, AnswerReader()
         self.idle_since = self.start = self.heard_at = 0
         self.chunked = False              # the body under way goes in chunks
         self.taker: Taker | None = None   # of the answer, once it flows
-        self.trip: Trip | None = trip
-        trip.link = self
-        self.conn = Connection(pool.hosts.loop, sock, self, opening=True)
-        hosts = pool.hosts
-        self.timer: Timer | None = hosts.loop.later(hosts.connect_within, self.ended, "never came up")
+        self.trip = trip
+        self.conn = Connection(pool.hosts.loop, sock, self, opening=trip is not None)
+        self.timer: Timer | None = None
+        if trip:
+            trip.link = self
+            self.timer = pool.hosts.loop.later(pool.hosts.connect_within, self.ended, "never came up")
 
     def reach(self) -> Reach:
         if self.conn.opening or self.conn.taken == self.start:
@@ -234,6 +236,21 @@
         super().bound(connect_within, idle_for)
         self.idle_for = idle_for
 
+    def movable(self) -> list[tuple[Any, socket.socket, Callable[[], None]]]:
+        return [((id, *pool.address, link.idle_since), link.conn.sock, link.close)
+                for id, pool in self.pools.items() if not pool.retired
+                for link in pool.idle if not pool.worn(link) and not link.conn.out]
+
+    def adopt(self, tag: Any, sock: socket.socket) -> None:
+        id, host, port, idle_since = tag
+        pool = self.pools.get(id)
+        if pool is None or pool.retired or pool.address != (host, port) or self.count >= self.most:
+            return sock.close()
+        link = Link(pool, sock, None)
+        link.idle_since = min(int(idle_since), self.loop.now)
+        pool.add(link)
+        pool.idle.append(link)
+
     def make(self, address: Address) -> Pool:
         return Pool(self, address)
 
--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -68,6 +68,7 @@
     """A connection from a client, as far as all protocols have the same need of it."""
 
     __slots__ = ("clients", "conn", "since")
+    movable = False  # whether all that is known of it, while it asks nothing, is its socket
 
     def __init__(self, clients: Clients, sock: socket.socket) -> None:
         self.clients = clients
@@ -181,6 +182,19 @@
         self.await_req(client)
         client.conn.ready(READ)  # what it asks has mostly come with it
 
+    def adopt(self, sock: socket.socket) -> None:
+        """A connection on which nothing is under way comes from another process of this balancer."""
+        if len(self.open) - len(self.parting) >= self.most and not self.shed():
+            return sock.close()
+        client = self.make(self, sock)
+        self.open[client] = self.idle[client] = None
+        client.conn.ready(READ)
+
+    def movable(self) -> list[Caller]:
+        """Those that can go to another process as they are."""
+        return [client for client in (*self.idle, *self.unasked)
+                if client.movable and not (client.begun or client.conn.out or client.conn.closing)]
+
     def await_req(self, client: Caller) -> None:
         """Its time to bring a whole req begins, or begins anew."""
         client.since = self.loop.now
@@ -199,7 +213,8 @@
     def trim(self) -> None:
         """Where more than half of the most are open, let the longest idle go, but for an eighth. Clients too
         hold only so many: those that ask once and stay would leave none long before there is no room here."""
-        while len(self.idle) > self.most // 8 and len(self.open) > self.most // 2:
+        while (not self.door.life.heir  # which takes them as they are
+               and len(self.idle) > self.most // 8 and len(self.open) > self.most // 2):
             client = next(iter(self.idle))
             if not client.quiet():
                 return
@@ -233,7 +248,7 @@
     @property
     def last(self) -> bool:
         """Whether an answer is the last on its connection."""
-        return self.door.life.means.last
+        return self.door.life.last
 
     def shut(self) -> None:
         """Let nobody in any more."""
--- a/orchidgap/net/handover.py
+++ b/orchidgap/net/handover.py
@@ -1,11 +1,40 @@
-"""Two processes of one balancer, while a new version takes the place of an old one."""
+"""Two processes of one balancer, while a new version takes the place of an old one.
+
+The newcomer calls the process that serves on a Unix socket of packets, and is told what that knows. From then
+on each tells the other what it holds; once the newcomer serves and the old one leaves, connections go too.
+"""
 
 from __future__ import annotations
 
+import os
 import socket
+import struct
+from collections import deque
+from collections.abc import Callable, Iterable, Sequence
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
+from zlib import crc32
+
+import orjson
 
+from orchidgap.decisions import estate
+from orchidgap.net.connection import SHORT
+from orchidgap.net.loop import READ, WRITE, Loop
 from orchidgap.net.start import BadStart
 
+if TYPE_CHECKING:
+    from orchidgap.net.node import Node
+
+FORM = 1              # of the packets; a process that speaks another one is left alone
+MOST = 1 << 16        # bytes of a packet
+AT_ONCE = 24          # descriptors in a packet
+BEHIND = 256          # packets that may wait for a process that does not read
+PART = 32             # hosts in a packet
+ESTATE_WITHIN = 1_500_000  # for the other process to tell what it knows; then it is done without
+TICK = 5_000          # how often each tells the other what it holds
+LEAST = 64            # descriptors that a newcomer is left in any case
+CREDENTIALS = struct.Struct("3i")
+
 
 def inherited(number: str) -> socket.socket:
     """The listening socket that this process was given, by its descriptor's number. Raises BadStart."""
@@ -22,3 +51,382 @@
         raise BadStart(f"GW_PASSED_SOCKET is {number}, which is no listening TCP socket")
     listener.setblocking(False)
     return listener
+
+
+class Passage:
+    """Packets between two processes, with the descriptors that go with them. Each is a list: a word, more."""
+
+    def __init__(self, loop: Loop, sock: socket.socket, heard: Callable[[list[Any], list[int]], None],
+                 ended: Callable[[str], None]) -> None:
+        self.loop, self.sock, self.heard, self.over = loop, sock, heard, ended
+        self.behind: deque[bytes] = deque()
+        sock.setblocking(False)
+        self.mask = READ
+        loop.watch(sock, READ, self.ready)
+
+    def send(self, *words: Any) -> None:
+        """In their order, as soon as the other reads."""
+        self.behind.append(orjson.dumps(words))
+        self.flush()
+
+    def flush(self) -> None:
+        try:
+            while self.behind:
+                self.sock.send(self.behind[0])
+                self.behind.popleft()
+        except BlockingIOError:
+            pass
+        except OSError as error:
+            return self.end(error.strerror or "broken")
+        if len(self.behind) > BEHIND:
+            return self.end("does not read")
+        mask = READ | (WRITE if self.behind else 0)
+        if mask != self.mask:
+            self.mask = mask
+            self.loop.rewatch(self.sock, mask, self.ready)
+
+    def hand(self, words: Sequence[Any], socks: Sequence[socket.socket]) -> bool:
+        """Descriptors go at once, or not at all; whether they went."""
+        if self.behind or self.sock.fileno() < 0:
+            return False
+        try:
+            socket.send_fds(self.sock, [orjson.dumps(words)], [sock.fileno() for sock in socks])
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno not in SHORT and error.errno not in (109,):  # ETOOMANYREFS: others still under way
+                self.end(error.strerror or "broken")
+            return False
+        return True
+
+    def ready(self, mask: int) -> None:
+        if mask & WRITE:
+            self.flush()
+        for _ in range(AT_ONCE):
+            if self.sock.fileno() < 0:
+                return
+            fds: list[int] = []
+            try:
+                text, fds, flags, _ = socket.recv_fds(self.sock, MOST, AT_ONCE, socket.MSG_CMSG_CLOEXEC)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                return self.end(error.strerror or "broken")
+            if not text:
+                return self.end("closed")
+            try:
+                words = orjson.loads(text)
+                if flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC) or not isinstance(words, list) or not words:
+                    raise ValueError("cut off")
+                self.heard(words, fds)
+            except (ValueError, TypeError, LookupError, AttributeError) as trouble:
+                return self.end(f"spoke oddly: {trouble}"[:120])
+            finally:
+                for fd in fds:
+                    with suppress(OSError):
+                        os.close(fd)
+
+    def end(self, why: str) -> None:
+        if self.sock.fileno() >= 0:
+            self.close()
+            self.over(why)
+
+    def close(self) -> None:
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock)
+            self.sock.close()
+
+
+class Kin:
+    """The other process, as far as it has told."""
+
+    def __init__(self) -> None:
+        self.passage: Passage
+        self.names: set[str] = set()    # ids of the reqs that are open there
+        self.outs: dict[str, int] = {}  # by host: its dispatches that are out
+        self.told: tuple[set[str], dict[str, int], int] = (set(), {}, 0)  # what it was told last
+        self.serves = False
+
+
+class Handover:
+    """This process's side. `elder` was here before it, `heir` came after."""
+
+    def __init__(self, loop: Loop, node: Node, folder: str | None = None, shared: bool = False) -> None:
+        """`folder` is common to all processes of this balancer; `shared` where they share its listener."""
+        self.loop, self.node, self.shared = loop, node, shared
+        self.elder: Kin | None = None
+        self.heir: Kin | None = None
+        self.waiting = False  # for what the elder knows
+        name = f"orchidgap-{crc32(node.station.name.encode()):08x}"
+        self.path = os.path.join(folder, name) if folder else ""
+        self.listener: socket.socket | None = None
+        self.fleet: dict[str, tuple[Any, Any]] = {}  # the elder's list, while it is told
+        self.known: dict[str, Any] = {}              # what it knows of its hosts, while that is told
+
+    # --- how they find each other
+
+    def begin(self) -> None:
+        """Look for a process that serves already. Where that could not be seen, both must do with half."""
+        if not self.shared:
+            return
+        if not (self.path and os.path.isdir(os.path.dirname(self.path))):
+            half = self.node.station.sockets // 2
+            self.node.note("companion unseen", why="no folder that both see", descriptors=half)
+            return self.node.allot(half)
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:
+            with At(self.path) as path:
+                sock.setblocking(False)
+                sock.connect(path)
+        except OSError:  # nobody there, or nobody who answers
+            return sock.close()
+        self.call(sock)
+
+    def call(self, sock: socket.socket) -> None:
+        """There is one: it lets clients in until this one can."""
+        self.elder = kin = Kin()
+        kin.passage = Passage(self.loop, sock, self.from_elder, self.elder_gone)
+        self.waiting = True
+        self.node.clients.look_away()
+        self.node.allot(LEAST)
+        kin.passage.send("hello", FORM, self.node.station.name)
+        self.loop.later(ESTATE_WITHIN, self.wait_no_more)
+        self.tick()
+
+    def serves(self) -> None:
+        """From now on clients come here, and a newer process finds this one."""
+        self.node.clients.look_back()
+        if self.elder:
+            self.elder.passage.send("serving")
+        if self.path and self.shared and not self.listener:
+            listener = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+            try:
+                listener.setblocking(False)
+                with At(f"{self.path}.{os.getpid()}") as path, suppress(FileNotFoundError):
+                    os.unlink(path)
+                with At(f"{self.path}.{os.getpid()}") as path:
+                    listener.bind(path)
+                listener.listen(8)
+                os.replace(f"{self.path}.{os.getpid()}", self.path)
+            except OSError as trouble:
+                listener.close()
+                return self.node.note("companion unseen", why=f"{self.path}: {trouble.strerror}")
+            self.listener = listener
+            self.loop.watch(listener, READ, self.accept)
+
+    def accept(self, mask: int = READ) -> None:
+        while self.listener:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            who = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+            if CREDENTIALS.unpack(who)[1] != os.getuid():
+                sock.close()
+                continue
+            self.called(sock)
+
+    def called(self, sock: socket.socket) -> None:
+        """A newer process is there. Should there have been one before, it has failed."""
+        if self.heir:
+            self.heir.passage.end("another came")
+        self.heir = kin = Kin()
+        kin.passage = Passage(self.loop, sock, self.from_heir, self.heir_gone)
+
+    # --- what they say
+
+    def from_heir(self, words: list[Any], fds: list[int]) -> None:
+        kin, node = self.heir, self.node
+        assert kin
+        if words[0] == "hello":
+            if words[1:] != [FORM, node.station.name]:
+                raise ValueError(f"not of this balancer: {words!r}")
+            node.note("heir found", reqs=len(node.reqs), clients=len(node.clients.open))
+            self.bound()
+            kin.passage.send("room", node.station.sockets - node.descriptors)
+            ids = list(node.fleet)
+            for at in range(0, len(ids), PART):
+                kin.passage.send("list", [[*node.fleet[id]] for id in ids[at:at + PART]])
+            known = estate.left(node.balancer) if node.has_estate else {"hosts": {}, "tenants": {}}
+            hosts = list(known["hosts"].items())
+            for at in range(0, len(hosts), PART):
+                kin.passage.send("estate", dict(hosts[at:at + PART]))
+            kin.passage.send("all", known["tenants"])
+            self.tick()
+        elif words[0] == "serving":
+            kin.serves = node.life.heir = True
+            node.clients.look_away()
+            node.note("heir serves", reqs=len(node.reqs), clients=len(node.clients.open))
+        elif words[0] == "now":
+            self.hear(kin, *words[1:])
+        else:
+            raise ValueError(f"what is {words[0]!r}?")
+
+    def from_elder(self, words: list[Any], fds: list[int]) -> None:
+        kin, node = self.elder, self.node
+        assert kin
+        if words[0] == "room":
+            node.allot(max(LEAST, min(int(words[1]), node.station.sockets)))
+        elif words[0] == "list":
+            for entry, (id, state, (host, port)) in words[1]:
+                if [type(value) for value in entry[:6]] != [str, str, int, str, str, str] or len(entry) != 7:
+                    raise ValueError("no entry of a list")
+                self.fleet[id] = (*entry[:6], float(entry[6])), (str(id), str(state), (str(host), int(port)))
+        elif words[0] == "estate":
+            self.known.update(words[1])
+        elif words[0] == "all":
+            if self.waiting:
+                self.inherit(words[1])
+        elif words[0] == "clients":
+            for fd in fds:
+                node.clients.adopt(socket.socket(fileno=os.dup(fd)))
+        elif words[0] == "links":
+            for fd, tag in zip(fds, words[1]):
+                node.hosts.adopt(tag, socket.socket(fileno=os.dup(fd)))
+        elif words[0] == "now":
+            self.hear(kin, *words[1:])
+        else:
+            raise ValueError(f"what is {words[0]!r}?")
+
+    def inherit(self, tenants: Any) -> None:
+        """All is told: the list, which is newer than what this process was started with, and the rest."""
+        node = self.node
+        if self.fleet:
+            entries, found = zip(*self.fleet.values())
+            node.on_list(True, list(entries), list(found))
+        taken = 0
+        if node.has_estate:
+            node.balancer.now = self.loop.now
+            taken = estate.take(node.balancer, {"hosts": self.known, "tenants": tenants})
+        self.fleet, self.known = {}, {}
+        node.note("estate taken", hosts=taken)
+        self.wait_no_more()
+
+    def hear(self, kin: Kin, added: list[str], gone: list[str], outs: dict[str, int]) -> None:
+        kin.names.update(added)
+        kin.names.difference_update(gone)
+        if outs != kin.outs:
+            kin.outs = {str(id): int(out) for id, out in outs.items()}
+            self.weigh()
+
+    def weigh(self) -> None:
+        """What other processes have out at a host counts there."""
+        outs: dict[str, int] = {}
+        for kin in self.kin():
+            for id, out in kin.outs.items():
+                outs[id] = outs.get(id, 0) + out
+        self.node.decide(self.node.balancer.on_away, outs)
+
+    # --- what each keeps telling
+
+    def kin(self) -> Iterable[Kin]:
+        return [kin for kin in (self.elder, self.heir) if kin]
+
+    def holds(self, id: bytes) -> bool:
+        """Whether a req of this id is open in another process."""
+        name = id.decode("latin-1")
+        return any(name in kin.names for kin in self.kin())
+
+    def tick(self) -> None:
+        """As long as there is another process."""
+        kins = self.kin()
+        if not kins:
+            return
+        names = {name.decode("latin-1") for name in self.node.names}
+        outs = {host.id: host.out for host in self.node.balancer.hosts.values() if host.out}
+        if self.heir:
+            self.bound()
+        for kin in kins:
+            room = self.node.station.sockets - self.node.descriptors if kin is self.heir else 0
+            if (names, outs, room) != kin.told:
+                if room != kin.told[2]:
+                    kin.passage.send("room", room)
+                kin.passage.send("now", sorted(names - kin.told[0]), sorted(kin.told[0] - names), outs)
+                kin.told = names, outs, room
+        if self.heir and self.node.life.hands_over:
+            self.hand()
+        self.loop.later(TICK, self.tick)
+
+    def bound(self) -> None:
+        """While a newer process is there, this one keeps what it holds, or half; the other has the rest."""
+        node = self.node
+        total, held = node.station.sockets, node.holding()
+        half = 0 if node.life.hands_over else total // 2
+        node.allot(min(total - LEAST, max(half, held + 8)))
+
+    def hand(self) -> None:
+        """Connections on which no req is go over as they are."""
+        assert self.heir
+        passage = self.heir.passage
+        clients = self.node.clients.movable()
+        for at in range(0, len(clients), AT_ONCE):
+            group = clients[at:at + AT_ONCE]
+            if not passage.hand(["clients"], [client.conn.sock for client in group]):
+                return
+            for client in group:
+                client.close()
+        links = self.node.hosts.movable()
+        for at in range(0, len(links), AT_ONCE):
+            some = links[at:at + AT_ONCE]
+            if not passage.hand(["links", [tag for tag, _, _ in some]], [sock for _, sock, _ in some]):
+                return
+            for _, _, close in some:
+                close()
+
+    # --- how they part
+
+    def wait_no_more(self) -> None:
+        if self.waiting:
+            self.waiting = False
+            self.node.able()
+
+    def elder_gone(self, why: str) -> None:
+        self.node.note("elder gone", why=why, reqs=len(self.elder.names) if self.elder else 0)
+        self.elder = None
+        self.waiting, waited = False, self.waiting
+        self.alone()
+        self.node.clients.look_back()
+        if waited:
+            self.node.able()
+
+    def heir_gone(self, why: str) -> None:
+        """It failed, or left before this one did: all is as before it came."""
+        self.node.note("heir gone", why=why)
+        self.heir = None
+        self.node.life.heir = False
+        self.alone()
+        self.node.clients.look_back()
+
+    def alone(self) -> None:
+        if not self.kin():
+            self.node.allot(self.node.station.sockets)
+        self.weigh()
+
+    def close(self) -> None:
+        """This process ends."""
+        for kin in self.kin():
+            kin.passage.close()
+        if self.listener:
+            with suppress(OSError):
+                if not self.heir:  # else the file is the heir's by now
+                    os.unlink(self.path)
+            self.loop.unwatch(self.listener)
+            self.listener.close()
+            self.listener = None
+
+
+class At:
+    """A path that a Unix socket's address has room for: by its folder's descriptor where it is too long."""
+
+    def __init__(self, path: str) -> None:
+        self.path, self.folder = path, -1
+
+    def __enter__(self) -> str:
+        if len(self.path.encode()) < 100:
+            return self.path
+        self.folder = os.open(os.path.dirname(self.path), os.O_PATH | os.O_DIRECTORY)
+        return f"/proc/self/fd/{self.folder}/{os.path.basename(self.path)}"
+
+    def __exit__(self, *_: Any) -> None:
+        if self.folder >= 0:
+            os.close(self.folder)
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -8,11 +8,12 @@
 from hashlib import blake2b
 from typing import Any, Protocol, cast
 
-from orchidgap.decisions.lifecycle import Life
+from orchidgap.decisions.lifecycle import Life, State
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
 from orchidgap.net.flow import Upload
+from orchidgap.net.handover import Handover
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import Entry, Place
@@ -175,21 +176,42 @@
         self.names: set[bytes] = set()  # of reqs that are owed an answer
         self.count = 0
         self.life = Life(loop.now)
-        room = station.sockets - SPARE
-        most = max(8, min(room // 2, (station.memory_mb - BASE_MB) * 1024 // HELD_KB))
-        self.clients = parts.clients(self, most)
-        self.hosts = parts.hosts(self, max(8, room - most), dial)
+        self.descriptors = station.sockets  # that this process may hold
+        self.handover = Handover(loop, self)
+        self.fleet: dict[str, tuple[Entry, Place]] = {}  # the list as it was told
+        self.clients = parts.clients(self, 8)
+        self.hosts = parts.hosts(self, 8, dial)
+        self.allot(station.sockets)
         self.balancer: Balancer = decider(station.terms, self, station.seed, loop.now)  # or what has its face
         self.registry = parts.listing(self, dial)
 
     def start(self) -> None:
         _, _, entries, found = self.station.known
-        self.hosts.follow(True, found)
+        self.keep(True, entries, found)
         self.decide(self.balancer.on_hosts, "recalled", entries)
-        if entries:
-            self.pass_on("able")
+        self.able()
         self.registry.ask()
 
+    # --- what it may hold
+
+    def allot(self, descriptors: int) -> None:
+        """So many for all that this process holds; whoever has come already is not thrown out for it."""
+        station, self.descriptors = self.station, descriptors
+        room = max(16, descriptors - SPARE)
+        memory_mb = station.memory_mb * descriptors // station.sockets
+        most = min(room // 2, (memory_mb - BASE_MB) * 1024 // HELD_KB)
+        self.clients.most = max(8, most, min(len(self.clients.open) + 8, room - self.hosts.count))
+        self.hosts.most = max(8, room - self.clients.most)
+
+    def holding(self) -> int:
+        """Descriptors that this process holds, or needs at once."""
+        return len(self.clients.open) + self.hosts.count + SPARE
+
+    @property
+    def has_estate(self) -> bool:
+        """Whether what decides here has something to leave, or can take it."""
+        return isinstance(self.balancer, Balancer)
+
     # --- what the network tells
 
     def ready(self) -> bool:
@@ -199,7 +221,7 @@
         return rule_set in self.station.terms.rule_sets
 
     def holds(self, id: bytes) -> bool:
-        return id in self.names
+        return id in self.names or self.handover.holds(id)
 
     def shed(self) -> bool:
         return self.hosts.shed()
@@ -214,9 +236,23 @@
                     number_of(key), tenant, *more, *([True] if flow else ()), exchange=exchange)
 
     def on_list(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
-        self.hosts.follow(whole, found)
+        self.keep(whole, entries, found)
         self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
-        self.pass_on("able")
+        self.able()
+
+    def keep(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
+        self.hosts.follow(whole, found)
+        if whole:
+            self.fleet.clear()
+        for entry, place in zip(entries, found):
+            self.fleet[entry[0]] = entry, place
+            if entry[1] == "gone":
+                del self.fleet[entry[0]]
+
+    def able(self) -> None:
+        """It can serve once it has a list, and what another process of this balancer knows."""
+        if self.fleet and not self.handover.waiting:
+            self.pass_on("able")
 
     def decide(self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None) -> None:
         """One call of the decisions. Where it fails, the req it was about is still answered."""
@@ -320,6 +356,8 @@
                       after_ms=took // 1000)
             if self.life.means.last:
                 self.attend(self.life.changes)
+            elif self.life.state is State.SERVING:
+                self.handover.serves()
 
     def attend(self, change: int) -> None:
         """While clients are let go: see who is left, until the state is another one."""
@@ -339,4 +377,5 @@
 
     def end(self) -> None:
         self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()))
+        self.handover.close()
         self.loop.running = False
--- a/orchidgap/net/pools.py
+++ b/orchidgap/net/pools.py
@@ -54,6 +54,14 @@
         """New times for connections to come up, and to stay idle, in microseconds."""
         self.connect_within = connect_within
 
+    def movable(self) -> list[tuple[Any, socket.socket, Callable[[], None]]]:
+        """Links that can go to another process: what is known of each, its socket, how it is closed."""
+        return []
+
+    def adopt(self, tag: Any, sock: socket.socket) -> None:
+        """A link comes from another process of this balancer, with what is known of it."""
+        sock.close()
+
     def make(self, address: Address) -> P:
         raise NotImplementedError
 
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -14,7 +14,7 @@
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net import start
 from orchidgap.net.connection import Address
-from orchidgap.net.handover import inherited
+from orchidgap.net.handover import Handover, inherited
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ, Loop
 from orchidgap.net.node import Node, Parts
@@ -37,6 +37,8 @@
     passed = os.environ.get("GW_PASSED_SOCKET")
     if passed:
         node.clients.inherit(inherited(passed))
+        node.handover = Handover(loop, node, os.environ.get("TMPDIR"), shared=True)
+        node.handover.begin()
     else:
         listen(node.clients.listen, station.listen)
     log("listening", listen=text_of(station.listen), operators=station.admin and text_of(station.admin),
--- /dev/null
+++ b/tests/decisions/test_estate.py
@@ -0,0 +1,76 @@
+import copy
+
+import orjson
+import pytest
+from desk import Desk
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidgap.decisions import estate
+from orchidgap.decisions.rules import SPACE
+
+
+def known():
+    desk = Desk(3)
+    for key in range(40):
+        desk.outcome(desk.put(key, tenant="big"), "done")
+    desk.hosts["c1"].limit, desk.hosts["c1"].lag, desk.hosts["c1"].shun_until = 2.5, 90_000, desk.now + 400_000
+    ring = desk.placement.ring
+    ring[0].size, ring[2].size = ring[0].size - 500, ring[2].size + 500
+    desk.placement.cut()
+    return desk
+
+
+def test_what_one_leaves_the_next_takes_by_way_of_text():
+    old, new = known(), Desk(3)
+    assert estate.take(new, orjson.loads(orjson.dumps(estate.left(old)))) == 4
+    assert estate.left(new) == estate.left(old) and new.placement.cuts == old.placement.cuts
+    assert type(new.hosts["c1"].lag) is int and type(new.hosts["c1"].limit) is float
+
+
+def test_a_host_that_started_since_owes_nothing_and_other_caches_have_other_ranges():
+    old, new = known(), Desk(3)
+    new.list(["c1"], since=77)
+    before = new.placement.cuts[:]
+    assert estate.take(new, estate.left(old)) == 3
+    assert new.hosts["c1"].lag == 0 and new.hosts["c0"].credit == old.hosts["c0"].credit and new.placement.cuts == before
+    more = Desk(4)
+    before = more.placement.cuts[:]
+    estate.take(more, estate.left(old))
+    assert more.placement.cuts == before and sum(host.size for host in more.placement.ring) == SPACE
+
+
+@pytest.mark.parametrize("told", [None, 7, [], {}, {"hosts": 7}, {"hosts": {"c0": 7}}, {"tenants": 7, "hosts": {}},
+                                  {"hosts": {}, "tenants": {"big": 7, "small": [1], "none": [1.0, 1.0]}}])
+def test_what_makes_no_sense_changes_nothing(told):
+    desk = known()
+    before = copy.deepcopy(estate.left(desk))
+    assert estate.take(desk, told) == 0 and estate.left(desk) == before
+
+
+VALUE = st.one_of(st.none(), st.booleans(), st.text(max_size=3), st.integers(-(1 << 70), 1 << 70),
+                  st.floats(), st.lists(st.integers(), max_size=2))
+
+
+@given(st.dictionaries(st.sampled_from(["c0", "c1", "c2", "o", "x"]),
+                       st.dictionaries(st.sampled_from([*estate.FIELDS, "size", "since"]), VALUE), max_size=5),
+       st.dictionaries(st.sampled_from(["big", "small", "x"]), st.lists(VALUE, max_size=3), max_size=3))
+def test_no_value_can_break_what_is_decided(hosts, tenants):
+    desk = Desk(3)
+    for fields in hosts.values():
+        if fields.get("since", 0) in (None, 0):
+            fields["since"] = 0
+    estate.take(desk, {"hosts": hosts, "tenants": tenants})
+    for host in desk.hosts.values():
+        assert 0 < host.limit <= 1e5 and 0 <= host.lag <= 6e7 and 0 <= host.credit <= 10
+        assert max(host.cut_at, host.judged_at, host.heard_at) <= desk.now + estate.SLACK
+        assert host.shun_until <= desk.now + 1_050_000 and host.warm_at <= desk.now + 60_050_000
+    assert sum(host.size for host in desk.placement.ring) == SPACE
+    assert all(0 <= shed <= 0.9 for shed in desk.admission.shed.values())
+    for key in range(20):
+        req = desk.put(key)
+        if desk.sent(req):
+            desk.outcome(req, "done")
+    desk.wait(70_000_000)
+    req = desk.put(3)
+    assert desk.sent(req) or desk.did("deny", req)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,7 +8,8 @@
 import pytest
 from desk import Net, heard
 
-from orchidgap.net.handover import inherited
+from orchidgap.net.handover import Handover, inherited
+from orchidgap.net.places import decoded
 from orchidgap.net.start import BadStart
 
 UP = b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n"
@@ -93,3 +94,334 @@
         assert process.wait(20) == 0
         with socket.create_connection(passed.getsockname(), timeout=20):
             pass  # it still listens
+
+
+# --- two processes that have found each other
+
+class Two:
+    """An old and a new balancer on one clock, with a passage between them."""
+
+    def __init__(self, caches=3, serves=True, **more):
+        self.old, self.new = Net(caches, **more), Net(caches, start=False, **more)
+        self.new.dial = self.old.dial  # hosts are common
+        self.new.node.hosts.dialer = self.new.node.registry.dialer = self.old.dial
+        for net in (self.old, self.new):
+            net.node.clients.inherit(listener())
+            net.node.handover = Handover(net.loop, net.node, None, shared=True)
+        self.known = {host.id: host for host in self.old.node.balancer.hosts.values()}
+        near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        self.prepare()
+        self.old.node.handover.called(near)
+        self.new.node.handover.call(far)
+        self.new.node.start()
+        if serves:
+            self.wait(0)
+
+    def prepare(self):
+        """What the old one knows that the new one does not."""
+
+    def turn(self, times=3):
+        for _ in range(times):
+            self.old.turn(2)
+            self.new.turn(2)
+
+    def wait(self, micros):
+        for _ in range(0, micros, 5_000):
+            for net in (self.old, self.new):
+                net.wait(5_000)
+        self.turn()
+
+    def end(self):
+        for net in (self.old, self.new):
+            for kin in net.node.handover.kin():
+                kin.passage.close()
+            if net.node.clients.listener:
+                net.node.clients.listener.close()
+
+
+def test_the_new_one_says_yes_only_with_what_the_old_one_knows():
+    class Knowing(Two):
+        def prepare(self):
+            self.old.node.on_list(False, *decoded({"seq": 8, "whole": False, "hosts": [
+                Net.entry(1, health="Terminating"), Net.entry(4)]})[2:])
+            c0 = self.old.node.balancer.hosts["c0"]
+            c0.limit, c0.lag, c0.credit, c0.cut_at = 3.5, 70_000, 9.0, self.old.now - 5
+            ring = self.old.node.balancer.placement.ring
+            ring[0].size, ring[1].size = ring[0].size + 100, ring[1].size - 100
+            self.old.node.balancer.placement.cut()
+
+    two = Knowing(serves=False)
+    old, new = two.old.node, two.new.node
+    assert not new.ready() and new.fleet and new.handover.waiting, "it has a list, and waits for more"
+    assert old.life.state.value == "serving" and not old.clients.away and new.clients.away
+    two.turn()
+    assert new.ready() and not new.handover.waiting and old.clients.away and not new.clients.away
+    assert listed(two.new) == listed(two.old) and listed(two.new)["c1"] == "draining"
+    c0 = new.balancer.hosts["c0"]
+    assert (c0.limit, c0.lag, c0.credit, c0.cut_at) == (3.5, 70_000, 9.0, two.old.now - 5)
+    assert new.balancer.placement.cuts == old.balancer.placement.cuts
+    two.end()
+
+
+def listed(net):
+    return {id: host.state for id, host in net.node.balancer.hosts.items()}
+
+
+def test_without_an_answer_from_the_old_one_it_serves_all_the_same():
+    net = Net(2, start=False)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net.node.handover.call(far)
+    net.node.start()
+    net.wait(1_490_000)
+    assert not net.node.ready()
+    net.wait(20_000)
+    assert net.node.ready() and not net.node.clients.away
+    near.close()
+    net.turn()
+    assert net.node.handover.elder is None and net.node.descriptors == 1024
+
+
+def test_connections_go_over_and_no_client_and_no_host_notices():
+    two = Two(1)
+    kept = [two.old.ask(f"k{i}") for i in range(5)]
+    busy, fresh = two.old.ask("busy"), two.old.client()
+    for client, far in zip(kept, two.old.fars()):
+        two.old.answers(far)
+        assert "close" not in heard(client)
+    dialled = len(two.old.dialled)
+    two.old.node.leave()
+    two.wait(10_000)
+    assert len(two.new.node.clients.open) == 6 and len(two.old.node.clients.open) == 1
+    assert len(two.new.node.hosts.pools["c0"].idle) == 5 and not two.old.node.hosts.pools["c0"].idle
+    for i, client in enumerate([*kept, fresh]):
+        assert heard(client) is None
+        client.sendall(f"GET /read/n{i} HTTP/1.1\r\nRequest-Id: n{i}\r\nRequest-Timeout: 1\r\n\r\n".encode())
+    two.turn()
+    assert len(two.new.node.reqs) == 6 and len(two.old.dialled) == dialled + 1, "five links came along"
+    two.old.serve()
+    assert heard(busy).startswith("HTTP/1.1 200") and heard(busy) is None, "it is not told to go either"
+    two.wait(10_000)
+    assert len(two.new.node.clients.open) == 7 and not two.old.node.clients.open
+    two.turn()
+    assert not two.old.loop.running, "all have gone over"
+    two.new.turn()
+    for client in [*kept, fresh]:
+        assert heard(client).startswith("HTTP/1.1 200")
+    two.end()
+
+
+def test_what_both_have_out_counts_at_a_host_and_an_id_is_open_in_both():
+    two = Two(1)
+    for i in range(4):
+        two.old.ask(f"k{i}")
+    two.wait(10_000)
+    host = two.new.node.balancer.hosts["c0"]
+    assert (host.out, host.away, host.load) == (0, 4, 4)
+    assert heard(two.new.ask("k1")).startswith("HTTP/1.1 409"), "it is open in the other"
+    host.limit = 4.0
+    two.new.ask("k9")
+    assert two.old.dialled[-1][0] == 109, "no room there: it went to the origin"
+    for far in two.old.fars():
+        two.old.answers(far)
+    two.wait(10_000)
+    assert host.away == 0 and heard(two.new.ask("k1")) is None
+    two.end()
+
+
+def test_descriptors_are_held_by_the_two_together():
+    class Busy(Two):
+        def prepare(self):
+            self.clients = [self.old.ask(f"k{i}") for i in range(90)]
+            self.old.serve()
+
+    two = Busy(1, sockets=256)
+    two.wait(10_000)
+    old, new = two.old.node, two.new.node
+    assert old.descriptors + new.descriptors <= 256 and old.descriptors >= old.holding() >= 90
+    for _ in range(4):
+        two.old.serve()
+        two.wait(10_000)
+    old.leave()
+    while two.old.loop.running:
+        assert old.descriptors + new.descriptors <= 256
+        two.wait(5_000)
+    assert len(new.clients.open) > 20 and not old.clients.open and new.descriptors == 256
+    two.end()
+
+
+def test_a_new_one_that_dies_leaves_all_as_it_was():
+    two = Two(1)
+    assert two.old.node.clients.away
+    two.new.ask("k")
+    two.wait(10_000)
+    assert two.old.node.balancer.hosts["c0"].away == 1
+    two.new.node.handover.elder.passage.close()
+    two.old.turn()
+    old = two.old.node
+    assert not old.clients.away and not old.life.heir and old.descriptors == 1024 and old.ready()
+    assert old.balancer.hosts["c0"].away == 0 and not old.handover.holds(b"r-k")
+    client = two.old.ask("k2")
+    two.old.serve()
+    assert heard(client).startswith("HTTP/1.1 200")
+    two.end()
+
+
+def test_a_new_one_that_dies_while_the_old_one_leaves():
+    two = Two(1)
+    busy = two.old.ask("busy")
+    two.old.node.leave()
+    two.wait(10_000)
+    two.new.node.handover.elder.passage.close()
+    two.old.turn()
+    two.old.serve()
+    assert "Connection: close" in heard(busy), "nobody is there to take the connection"
+    busy.close()
+    two.old.wait(500_000)
+    assert not two.old.loop.running
+    two.end()
+
+
+def test_an_old_one_that_never_goes():
+    two = Two(1)
+    client = two.old.ask("k")
+    two.old.serve()
+    two.wait(50_000)
+    client.sendall(b"GET /read/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 1\r\n\r\n")
+    two.turn()
+    two.old.serve()
+    assert heard(client).endswith("v") and two.old.loop.running and two.new.node.ready()
+    two.end()
+
+
+@pytest.mark.parametrize("packet", [
+    b"", b"{", b"null", b"[]", b"7", b'["what"]', b'["hello"]', b'["hello",1,"another"]', b'["hello",99,"n0"]', b'["now"]',
+    b'["now",1,2,3]', b'["now",[],[],{"c0":"x"}]', b"\xff" * 100, b'["serving"', b'["clients"]' * 9])
+def test_whatever_is_said_to_the_old_one_costs_the_passage_and_nothing_else(packet):
+    net = Net(1)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net.node.handover.called(near)
+    far.send(packet) if packet else far.close()
+    net.turn()
+    assert net.node.handover.heir is None and not net.node.clients.away and near.fileno() < 0
+    client = net.ask("k")
+    net.serve()
+    assert heard(client).startswith("HTTP/1.1 200")
+    net.node.clients.listener.close()
+
+
+@pytest.mark.parametrize("packet", [
+    b"[]", b'["what"]', b'["room","x"]', b'["list",[["c0"]]]', b'["list",[[[1,2,3,4,5,6,7],["c0","up",["h",1]]]]]',
+    b'["list",7]', b'["estate",7]', b'["links",7]', b'["now",{},{},7]', b""])
+def test_whatever_is_said_to_the_new_one_it_serves(packet):
+    net = Net(1, start=False)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net.node.handover.call(far)
+    net.node.start()
+    near.send(packet) if packet else near.close()
+    net.turn()
+    net.wait(1_600_000)
+    assert net.node.ready() and not net.node.clients.away
+    client = net.ask("k")
+    net.serve()
+    assert heard(client).startswith("HTTP/1.1 200")
+    net.node.clients.listener.close()
+
+
+def test_descriptors_that_come_with_an_odd_packet_are_closed():
+    net = Net(1)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net.node.handover.called(near)
+    left, right = socket.socketpair()
+    socket.send_fds(far, [b'["clients"]'], [left.fileno()])
+    left.close()
+    net.turn()
+    right.settimeout(5)
+    assert right.recv(1) == b"", "nobody holds the other end"
+    net.node.clients.listener.close()
+
+
+def test_processes_find_each_other_by_a_folder_and_a_stale_file_is_nobody(tmp_path):
+    deep = tmp_path / ("x" * 60) / ("y" * 60)  # more than a Unix socket's address has room for
+    deep.mkdir(parents=True)
+    for folder in (tmp_path, deep):
+        nets = [Net(1, start=False), Net(1, start=False), Net(1, start=False)]
+        for net in nets:
+            net.node.clients.inherit(listener())
+            net.node.handover = Handover(net.loop, net.node, str(folder), shared=True)
+        first, second, third = nets
+        first.node.handover.begin()
+        first.node.start()
+        assert first.node.ready() and first.node.handover.elder is None
+        second.node.handover.begin()
+        second.node.start()
+        assert second.node.handover.elder and not second.node.ready()
+        turn([first, second, first, second])
+        assert second.node.ready() and first.node.life.heir
+        first.node.end()
+        turn([second])
+        assert second.node.handover.elder is None and second.node.descriptors == 1024
+        second.node.handover.listener.close()  # as by a kill: the file stays
+        third.node.handover.begin()
+        third.node.start()
+        assert third.node.handover.elder is None and third.node.ready()
+        third.node.end()
+        assert not [path for path in folder.iterdir() if path.is_socket()]
+        for net in nets:
+            if net.node.clients.listener:
+                net.node.clients.listener.close()
+
+
+@pytest.mark.parametrize("folder", [None, "", "/nonexistent/folder"])
+def test_without_a_common_folder_each_does_with_half(folder):
+    net = Net(1, start=False, sockets=400)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, folder, shared=True)
+    net.node.handover.begin()
+    net.node.start()
+    assert net.node.ready() and net.node.descriptors == 200 and "companion unseen" in net.log.lines
+    net.node.clients.listener.close()
+
+
+def test_a_process_takes_the_place_of_another_under_load(tmp_path):
+    """Real processes: a client that keeps its connection never sees it end."""
+    with listener() as passed, socket.create_server(("127.0.0.1", 0)) as away:
+        path, processes = tmp_path / "c", []
+        path.write_bytes(orjson.dumps({
+            "name": "n", "listen": f"127.0.0.1:{passed.getsockname()[1]}", "seed": "7",
+            "discovery": f"127.0.0.1:{away.getsockname()[1]}",
+            "known": {"seq": 1, "whole": True, "hosts": [Net.entry(0)]},
+            "settings": {"rule-sets": [{"name": "read", "effect": "retryable", "client-timeout": 900_000}]}}))
+
+        def run():
+            with open(tmp_path / f"log{len(processes)}", "wb") as log:
+                processes.append(subprocess.Popen(
+                    [sys.executable, "-m", "orchidgap", "serve", f"--config={path}"], stderr=log,
+                    pass_fds=[passed.fileno()], env=os.environ | {
+                        "GW_PASSED_SOCKET": str(passed.fileno()), "TMPDIR": str(tmp_path)}))
+
+        run()
+        client = socket.create_connection(passed.getsockname(), timeout=20)
+
+        def up():
+            client.sendall(UP.replace(b"Connection: close\r\n", b""))
+            return client.recv(99)[:12]
+
+        assert up() == b"HTTP/1.1 200"
+        run()
+        while b'"event":"serving"' not in (tmp_path / "log1").read_bytes():
+            assert up() == b"HTTP/1.1 200"
+        processes[0].send_signal(signal.SIGTERM)
+        while processes[0].poll() is None:
+            assert up() in (b"HTTP/1.1 200", b"HTTP/1.1 503")
+        assert up() == b"HTTP/1.1 200" and processes[0].wait() == 0
+        client.close()
+        processes[1].send_signal(signal.SIGTERM)
+        assert processes[1].wait(20) == 0
