--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from orchidgap.decisions.links import Need
 from orchidgap.http1.codec import LAST_CHUNK, AnswerReader, chunk
 from orchidgap.net import pools
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken, dial
@@ -187,8 +188,10 @@
     def __init__(self, hosts: Hosts, address: Address) -> None:
         super().__init__(hosts, address)
         self.idle: deque[Link] = deque()  # the newest last
+        self.need = Need(hosts.loop.now)
 
     def send(self, trip: Trip) -> None:
+        self.need.saw(self.hosts.loop.now, len(self.links) - len(self.idle) + 1)
         while self.idle:
             link = self.idle.pop()
             if self.worn(link) or link.conn.stale():
@@ -218,6 +221,12 @@
         if link in self.idle:
             self.idle.remove(link)
 
+    def trim(self) -> None:
+        """The host holds only so many, and other balancers may need them."""
+        keep = self.need.keep(self.hosts.loop.now)
+        while self.idle and (len(self.links) > keep or self.worn(self.idle[0])):
+            self.idle[0].close()
+
     def retire(self) -> None:
         self.retired = True
         for link in list(self.links):
@@ -262,8 +271,7 @@
 
     def sweep(self) -> None:
         for pool in self.pools.values():
-            while pool.idle and pool.worn(pool.idle[0]):
-                pool.idle[0].close()
+            pool.trim()
         for link in list(self.flows):
             if link.conn.holds:  # it waits for the client
                 link.heard_at = self.loop.now
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -601,6 +601,24 @@
 
 # --- pools
 
+def test_links_from_a_burst_are_not_kept_for_long_and_one_is():
+    net = Net(1)
+    clients = [net.ask(f"k{i}") for i in range(7)]
+    pool = net.node.hosts.pools["c0"]
+    net.serve()
+    assert len(pool.idle) == 7 and all(heard(client) for client in clients)
+    net.wait(900_000)
+    assert len(pool.idle) == 7, "the next burst finds them"
+    for i in range(3):  # two at a time from now on
+        pair = [net.ask(f"p{i}"), net.ask(f"q{i}")]
+        net.serve()
+        assert all(heard(client) for client in pair)
+        net.wait(1_000_000)
+    assert len(pool.idle) == 2, "other balancers may need what the host has room for"
+    net.wait(3_000_000)
+    assert len(pool.idle) == 1
+
+
 def idle_links(net, many):
     """So many links of c0, all idle, the last used last."""
     clients = [net.ask(f"k{i}") for i in range(many)]
