A read's last dispatch goes to an origin with time; busy links that break close no others

Ruled out: an idle limit at hosts, worn links.

Change: Placement.last; links kept longer are closed only after one that had been idle for 200 ms broke.

--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -127,7 +127,7 @@
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
         self.desk.pool.note(SLOTS + req.slot, 1)
-        if host := self.choose(req):
+        if host := None if self.last(req) else self.choose(req):
             return self.next.take(req, host)
         if not req.write and self.desk.origin.spare():  # no cache takes it, and the origin has time
             req.missed = True
@@ -136,6 +136,10 @@
             return self.desk.finish(req)  # nothing is out that would make room
         self.keep(req)
 
+    def last(self, req: Req) -> bool:
+        """Whether a miss could not be followed by a fetch, and the origin has time for one now."""
+        return len(req.sent) - req.hops + 1 >= req.most and not req.write and self.desk.origin.spare()
+
     def owned(self, req: Req) -> None:
         """Servers that own their slots are asked for them, and nobody in their place."""
         if host := self.choose(req):
@@ -193,6 +197,8 @@
             if turn(req.hops - 1, req.bound is not None, drains) is not Turn.GIVE_UP:
                 return self.take(req)
         if sent.verdict in FELL and not (req.over or req.missed or sent.host.is_origin):
+            if self.last(req) and not self.desk.owners:
+                return self.take(req)
             host = self.choose(req)
             if host and (host.credit >= 1.0 or sent.verdict == "stale") and self.desk.may_repeat(req, host):
                 host.credit -= sent.verdict != "stale"  # an old link that broke is nobody's failure
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -15,18 +15,21 @@
 from orchidgap.net.trip import Taker, Trip
 
 SWEEP = 1_000_000
+SHORT = 200_000     # a link that breaks after it was idle for less says nothing of those idle for longer
 STALL = 10_000_000  # for a host to give more of an answer that flows
 
 
 class Link:
     """One connection to a host: opening, idle, or carrying one trip."""
 
-    __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "taker", "timer",
+    __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "start_idle",
+                 "taker", "timer",
                  "trip")
 
     def __init__(self, pool: Pool, sock: socket.socket, trip: Trip | None) -> None:
         self.pool, self.reader = pool, AnswerReader()
         self.idle_since = self.start = self.heard_at = 0
+        self.start_idle = 0               # how long it had been idle when its trip began
         self.chunked = False              # the body under way goes in chunks
         self.taker: Taker | None = None   # of the answer, once it flows
         self.trip = trip
@@ -57,7 +60,9 @@
 
     def carry(self, trip: Trip) -> None:
         self.trip, trip.link = trip, self
-        self.start, self.heard_at = self.conn.taken, self.pool.hosts.loop.now
+        now = self.pool.hosts.loop.now
+        self.start, self.heard_at = self.conn.taken, now
+        self.start_idle = now - self.idle_since if self.idle_since else 0
         if trip.bare or self.reader.bare:
             self.reader.renew(trip.bare)
         else:
@@ -154,8 +159,9 @@
         cause = "stale" if stale else broken(what) if self.conn.opening else "broken"
         fault = Fault(self.reach(), cause, what)
         self.close()
-        while stale and self.pool.idle:  # kept for longer yet: the next try needs one that holds
-            self.pool.idle[0].close()
+        if stale and self.start_idle > SHORT:  # those kept for longer yet: the next try needs one that holds
+            while self.pool.idle:
+                self.pool.idle[0].close()
         if trip:
             # not at once: this may be the decision's own call to send
             self.pool.hosts.loop.soon(trip.settle, fault.verdict)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -677,6 +677,7 @@
     net = Net(1)
     older, newer = idle_links(net, 2)
     heard(older), heard(newer)
+    net.wait(300_000)
     client = net.ask("again")
     assert heard(newer).startswith("GET")
     newer.close()
@@ -691,6 +692,20 @@
     assert net.verdicts[-1] == "reset", "it had begun to answer"
 
 
+def test_a_busy_link_that_breaks_says_nothing_of_those_kept_for_longer():
+    net = Net(1)
+    older, newer = idle_links(net, 2)
+    heard(older), heard(newer)
+    net.wait(50_000)
+    client = net.ask("again")
+    heard(newer)
+    newer.close()
+    net.turn()
+    assert heard(older).startswith("GET") and len(net.fars()) == 2, "no handshake more"
+    net.answers(older)
+    assert heard(client).startswith("HTTP/1.1 200")
+
+
 def test_a_dispatch_still_connecting_is_never_written_once_its_host_drains_or_the_req_is_over():
     for health in ("Terminating", "Gone"):
         net = Net(2)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -102,6 +102,30 @@
     assert desk.sent(follower)[-1] == "o"
 
 
+@pytest.mark.parametrize("verdict", ["stale", "reset", "refused", "full", "error"])
+def test_the_last_dispatch_of_a_read_goes_where_no_miss_can_come_of_it(verdict):
+    desk = Desk()
+    desk.terms = desk.terms._replace(max_dispatches=2)
+    req = desk.put(5)
+    desk.outcome(req, verdict)
+    assert desk.sent(req)[1:] == ["o"], "a miss could not be followed by a fetch"
+    desk.outcome(req, "done", 1)
+    desk.hosts["o"].limit = 1.0
+    busy = desk.put(7, "once")
+    req = desk.put(5)
+    desk.outcome(req, "stale")
+    assert len(desk.sent(req)) == 2 and desk.sent(req)[1] != "o" and desk.sent(busy) == ["o"], "the origin has no time"
+
+
+def test_where_one_dispatch_is_all_the_origin_is_asked_while_it_has_time():
+    desk = Desk()
+    desk.terms = desk.terms._replace(max_dispatches=1)
+    first = desk.put(5)
+    assert desk.sent(first) == ["o"]
+    desk.hosts["o"].limit = 2.0
+    assert desk.sent(desk.put(6)) != ["o"]
+
+
 @pytest.mark.parametrize(("rule_set", "verdict", "again", "final"), [
     ("once", "timeout", False, "abort"), ("once", "error", False, "abort"), ("once", "full", True, None),
     ("mark", "error", True, None), ("mark", "timeout", False, "deny"), ("once", "unconnected", True, None)])
