--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -182,7 +182,7 @@
             return self.close()
         if self.chunked:
             self.conn.send(codec.LAST_CHUNK)
-        self.done(self.last)
+        self.done(self.last or self.clients.last)  # a drain may have begun since its head went out
 
     def done(self, last: bool) -> None:
         """The oldest req has its answer."""
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -61,9 +61,16 @@
         raise BadStart("GW_CONFIG names no file")
     try:
         with open(path, "rb") as file:
-            told = orjson.loads(file.read())
+            text = file.read()
     except OSError as trouble:
         raise BadStart(f"{path}: {trouble.strerror}") from None
+    return parse(text, path, before)
+
+
+def parse(text: bytes, path: str, before: Station | None = None) -> Station:
+    """The same of a file's text; the path only says whose it is."""
+    try:
+        told = orjson.loads(text)
     except ValueError as trouble:
         raise BadStart(f"{path} is not JSON: {trouble}") from None
     try:
--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -137,6 +137,32 @@
             self.waiting.popleft().close()
 
 
+class Shared(Queue):
+    """A backlog that several processes have a hold on."""
+
+    def __init__(self, loop: Loop) -> None:
+        super().__init__(loop)
+        self.faces: list[Face] = []
+
+    def wake(self) -> None:
+        for face in self.faces:
+            face.wake()
+
+
+class Face(Queue):
+    """One process's hold on it: closing it is no end for the others."""
+
+    def __init__(self, whole: Shared) -> None:
+        super().__init__(whole.loop)
+        self.whole, self.waiting = whole, whole.waiting
+        whole.faces.append(self)
+
+    def close(self) -> None:
+        self.open = False
+        if self in self.whole.faces:
+            self.whole.faces.remove(self)
+
+
 class Share(Loop):
     """One balancer's part of the world's loop: its own sockets and timers, that end with it."""
 
--- a/orchidgap/trial/listing.py
+++ b/orchidgap/trial/listing.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from orchidgap.trial.scene import Scene
 
+MOST_CALLS = 40  # a second, from one balancer: news come faster than that nowhere
 PRESUMED = 6_000_000  # what there is to tell counts as told this much later, to one that does not ask
 STATES = {"Ready": "up", "Terminating": "draining", "Gone": "gone"}
 
@@ -89,6 +90,8 @@
         self.listing, self.balancer, self.loop = listing, balancer, listing.loop
         # silent; microseconds behind; the version it stays at
         self.gone, self.late, self.frozen = False, 0, 0
+        self.crowded = 0.0   # the part of connections that are turned away
+        self.calls = (0, 0)  # the second, and how often it was asked in that
         self.told_seq = 0
         self.links: dict[AgentLink, None] = {}
         # what the balancer would remember over a restart
@@ -96,8 +99,20 @@
         listing.scene.ground.listen(address, self.accept)
 
     def accept(self, sock: socket.socket, who: str) -> None:
+        if self.crowded and self.listing.scene.rng.random() < self.crowded:
+            self.count()
+            return sock.close()  # overbooked: whoever comes now is turned away
         self.links[AgentLink(self, sock)] = None
 
+    def count(self) -> None:
+        """A call: so many in a second from one balancer add up to too many from all."""
+        referee, second = self.listing.scene.referee, self.loop.now // 1_000_000
+        referee.lists += 1
+        self.calls = (second, self.calls[1] + 1) if self.calls[0] == second else (second, 1)
+        if self.calls[1] == MOST_CALLS + 1:
+            why = f"discovery: {self.balancer} asked more than {MOST_CALLS} times in a second"
+            referee.breach("cold", self.loop.now, why)
+
     def stir(self) -> None:
         if self.gone or self.frozen:
             return
@@ -163,6 +178,7 @@
             self.asked()
 
     def asked(self) -> None:
+        self.agent.count()
         parts = urlsplit(self.reader.message.target.decode())
         query = parse_qs(parts.query)
         self.after = int(query["after"][0]) if "after" in query else None
--- /dev/null
+++ b/orchidgap/trial/operators.py
@@ -0,0 +1,259 @@
+"""Stand-in operators, and the front before the balancers: drains, settings, new versions, their calls."""
+
+from __future__ import annotations
+
+import copy
+import json
+import socket
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from orchidgap.http1 import codec as http
+from orchidgap.net.connection import Connection, Fault
+from orchidgap.trial.plan import OPS_KINDS, Trouble, micros
+
+if TYPE_CHECKING:
+    from orchidgap.trial.scene import Scene
+
+PROBE = 100_000          # how often the front asks each balancer whether it serves
+STILL = 200_000          # after the first no, new connections still come for so long
+EMPTY_WITHIN = 4_000_000  # after the call to drain
+LATELY = 2_000_000       # a req this old may still be open then
+BACK_WITHIN = 2_000_000  # after the call that ends a drain
+YES_WITHIN = 6_000_000   # of a new version
+ANSWER_WITHIN = 1_000_000  # of a call
+SILENT_FOR = 4_000_000   # a caller that says nothing stays
+BINDS_AFTER = 1_200_000  # new settings, after SIGHUP
+
+
+class Probe:
+    """One question of the front: do you serve?"""
+
+    def __init__(self, front: Front, post: str, sock: socket.socket, opening: bool) -> None:
+        self.front, self.post, self.reader, self.over = front, post, http.AnswerReader(), False
+        self.conn = Connection(front.scene.loop, sock, self, opening=opening)
+        self.conn.send(b"GET /up HTTP/1.1\r\nHost: front\r\nConnection: close\r\n\r\n")
+        front.scene.loop.later(ANSWER_WITHIN, self.late)
+
+    def opened(self) -> None: ...
+
+    def received(self, view: memoryview) -> None:
+        self.reader.feed(view)
+        if self.reader.message.whole and not self.over:
+            self.over = True
+            self.front.heard(self.post, self.reader.message.status == 200)
+            self.conn.finish()
+
+    def ended(self, what: str) -> None:
+        if not self.over:
+            self.over = True
+            self.front.heard(self.post, False)
+
+    def late(self) -> None:
+        if not self.over:
+            self.conn.end("late")
+
+
+class Front:
+    """Deals out connections: none to a balancer that has said no for a while."""
+
+    def __init__(self, scene: Scene) -> None:
+        self.scene = scene
+        self.no_since: dict[str, int] = {}
+        self.on = any(trouble.kind in OPS_KINDS for trouble in scene.plan.trouble)
+
+    def start(self) -> None:
+        if self.on:
+            self.probe()
+
+    def probe(self) -> None:
+        scene = self.scene
+        for name, post in scene.posts.items():
+            if post.alive and post.ready_at:
+                came = scene.ground.dial(post.address)
+                if isinstance(came, Fault):
+                    self.heard(name, False)
+                else:
+                    Probe(self, name, came, not scene.ground.virtual)
+        scene.loop.later(PROBE, self.probe)
+
+    def heard(self, post: str, yes: bool) -> None:
+        if yes:
+            self.no_since.pop(post, None)
+        else:
+            self.no_since.setdefault(post, self.scene.loop.now)
+
+    def closed(self, post: str) -> bool:
+        """Whether no new connection goes there."""
+        return post in self.no_since and self.scene.loop.now - self.no_since[post] > STILL
+
+
+class CallLink:
+    """One call at an operators' door: a line is owed within a second."""
+
+    def __init__(self, scene: Scene, post: str, name: str, heard: Callable[[str], None]) -> None:
+        self.scene, self.post, self.name, self.heard, self.line = scene, post, name, heard, b""
+        self.over = False
+        scene.referee.calls += 1
+        came = scene.ground.dial(scene.posts[post].admin)
+        if isinstance(came, Fault):
+            return self.wrong("nobody lets it in")
+        self.conn = Connection(scene.loop, came, self, opening=not scene.ground.virtual)
+        if name:
+            self.conn.send(name.encode() + b"\n")
+            scene.loop.later(ANSWER_WITHIN, self.late)
+        else:
+            scene.loop.later(SILENT_FOR, self.conn.close)
+
+    def opened(self) -> None: ...
+
+    def received(self, view: memoryview) -> None:
+        self.line += bytes(view)
+        if self.name and self.line.endswith(b"\n") and not self.over:
+            self.over = True
+            said = self.line.decode(errors="replace").strip()
+            self.scene.loop.soon(self.heard, said)
+            self.conn.finish()
+
+    def ended(self, what: str) -> None:
+        if self.name and not self.over:
+            self.wrong("its connection ended")
+
+    def late(self) -> None:
+        if not self.over:
+            self.wrong("no answer in time")
+            self.conn.close()
+
+    def wrong(self, why: str) -> None:
+        self.over = True
+        self.scene.referee.breach("late", self.scene.loop.now, f"call {self.name} at {self.post}: {why}")
+
+
+def call(scene: Scene, post: str, name: str, *wanted: str) -> None:
+    """A call that is owed one of these words."""
+
+    def heard(said: str) -> None:
+        scene.referee.event(scene.loop.now, f"{post}: {name}: {said}")
+        if not said.startswith(wanted or ("SUCCESS",)):
+            scene.referee.breach("late", scene.loop.now, f"call {name} at {post}: {said!r}")
+
+    CallLink(scene, post, name, heard)
+
+
+# --- what they do
+
+def quiesce(scene: Scene, trouble: Trouble, names: list[str]) -> None:
+    """Drained, looked at after four seconds, and back again when the trouble ends."""
+    loop = scene.loop
+    for name in names:
+        call(scene, name, "quiesce")
+        loop.later(500_000, call, scene, name, "health", "FAILURE")
+        loop.later(EMPTY_WITHIN, empty, scene, name, loop.now + EMPTY_WITHIN)
+        loop.later(max(EMPTY_WITHIN + 100_000, micros(trouble.for_s)), resume, scene, name)
+
+
+def empty(scene: Scene, name: str, now: int) -> None:
+    """Four seconds after the call nobody may be sent there, nor be kept without need."""
+    referee = scene.referee
+    if name not in scene.front.no_since:
+        referee.breach("lost", now, f"{name}: was told to drain, and still says yes")
+    for link in scene.callers.open_links(name):
+        if link.ask is None:
+            referee.breach("lost", now, f"{name}: was told to drain, and holds an idle connection")
+        elif now - link.ask.began < LATELY:
+            referee.breach("lost", now, f"{name}: was told to drain, and holds {link.ask.id.decode()}")
+
+
+def resume(scene: Scene, name: str) -> None:
+    call(scene, name, "resume")
+
+    def back() -> None:
+        if name in scene.front.no_since and scene.lives(name):
+            scene.referee.breach("lost", scene.loop.now, f"{name}: the drain ended, and it still says no")
+
+    scene.loop.later(BACK_WITHIN, back)
+
+
+def silent_calls(scene: Scene, trouble: Trouble, names: list[str]) -> None:
+    """`size` callers (100) that say nothing, and a call that is owed its answer beside them."""
+    for name in names:
+        for _ in range(round(trouble.size or 100)):
+            CallLink(scene, name, "", print)
+        for at in (0, 1_000_000, 3_000_000):
+            scene.loop.later(at + 50_000, call, scene, name, "health", "SUCCESS", "FAILURE")
+
+
+def retune(scene: Scene, trouble: Trouble, names: list[str]) -> None:
+    """The settings as they are to be from now on; `size`, where given, is how many dispatches may be."""
+    if trouble.size:
+        scene.most = round(trouble.size), scene.loop.now, scene.most[0]
+    for name in names:
+        scene.posts[name].hup(json.dumps(scene.told(scene.posts[name], scene.known_of(name))).encode())
+
+
+def bad_settings(scene: Scene, trouble: Trouble, names: list[str]) -> None:
+    """Files that cannot be used, one after another: nothing of them may count."""
+    for name in names:
+        tree = scene.told(scene.posts[name], scene.known_of(name))
+        for number, text in enumerate(broken(tree)):
+            scene.loop.later(number * 150_000, scene.posts[name].hup, text)
+
+
+def broken(tree: dict[str, Any]) -> list[bytes]:
+    """The same settings in ways that must not be taken; each would move discovery and rename all classes."""
+    def changed(act: Callable[[dict[str, Any]], object]) -> bytes:
+        other = copy.deepcopy(tree)
+        other["discovery"] = "127.9.9.9:9"
+        for work in other["settings"]["rule-sets"]:
+            work["name"] += "-x"
+        act(other)
+        return json.dumps(other).encode()
+
+    def rule_set(key: str, value: object) -> bytes:
+        return changed(lambda other: other["settings"]["rule-sets"][-1].update({key: value}))
+
+    whole = changed(lambda other: None)
+    return [
+        b"", b"[]", whole[: len(whole) // 2],
+        rule_set("client-timeout", 0), rule_set("client-timeout", -5), rule_set("client-timeout", "soon"),
+        rule_set("effect", "unknown"),
+        changed(lambda other: other["settings"]["ceilings"].update({"most-dispatches": 0})),
+        changed(lambda other: other["settings"]["ceilings"].pop("may-cancel")),
+        changed(lambda other: other["settings"]["rule-sets"][0].pop("effect")),
+        changed(lambda other: other["settings"].pop("rule-sets")),
+        changed(lambda other: other.pop("settings")),
+    ]
+
+
+def upgrade(scene: Scene, trouble: Trouble, names: list[str]) -> None:
+    """One after another: a new process beside the old one, which is told to end at the new one's yes."""
+    for number, name in enumerate(names):
+        scene.loop.later(micros(trouble.for_s) * number // len(names), begin_beside, scene, name)
+
+
+def begin_beside(scene: Scene, name: str) -> None:
+    post = scene.posts[name]
+    if not post.alive:
+        return
+    until = scene.loop.now + YES_WITHIN
+    post.begin_beside(scene.known_of(name))
+    longest = max(round(work.timeout_ms * 1000) for work in scene.plan.works())
+
+    def look() -> None:
+        if not post.alive:
+            return
+        if post.new_ready():
+            scene.referee.event(scene.loop.now, f"{name}: the new process says yes")
+            post.leave_old()
+            scene.loop.later(longest + 700_000, post.kill_old)
+        elif scene.loop.now > until:
+            scene.referee.breach("late", scene.loop.now, f"{name}: no yes of the new process in time")
+        else:
+            scene.loop.later(20_000, look)
+
+    look()
+
+
+OPS_ACTS: dict[str, Callable[[Scene, Trouble, list[str]], None]] = {
+    "quiesce": quiesce, "retune": retune, "bad-settings": bad_settings, "upgrade": upgrade,
+    "silent-calls": silent_calls}
--- a/orchidgap/trial/troubles.py
+++ b/orchidgap/trial/troubles.py
@@ -7,6 +7,7 @@
 
 from orchidgap.trial.callers import rude
 from orchidgap.trial.fabric import Pairs
+from orchidgap.trial.operators import OPS_ACTS
 from orchidgap.trial.plan import Trouble, micros
 from orchidgap.trial.resp import failover, pointing, reshuffle
 from orchidgap.trial.stores import Store
@@ -23,6 +24,8 @@
     """Called at the trouble's time."""
     what = f"{trouble.kind} {trouble.target} {trouble.part:g} {trouble.size:g}"
     scene.referee.event(scene.loop.now, " ".join(what.split()))
+    if trouble.kind in OPS_ACTS:
+        return OPS_ACTS[trouble.kind](scene, trouble, posts(scene, trouble))
     ACTS[trouble.kind](scene, trouble)
 
 
@@ -223,6 +226,16 @@
     later(scene, trouble, end)
 
 
+def discovery_crowded(scene: Scene, trouble: Trouble) -> None:
+    """`size` of the calls for the list are turned away (0.9)."""
+    agents = list(scene.listing.agents.values())
+    for_a_time(scene, trouble, agents, "crowded", trouble.size or 0.9, 0.0)
+    for agent in agents:  # a watch that is under way ends, too
+        for link in list(agent.links):
+            link.conn.close()
+            agent.links.pop(link, None)
+
+
 def cut(scene: Scene, trouble: Trouble, hosts: list[Store], names: list[str]) -> None:
     if not isinstance(scene.ground, Pairs):
         for store in hosts:  # no way between two processes can be cut: the host is silent to all
@@ -311,6 +324,7 @@
     "discovery-gone": lambda scene, trouble: discovery(scene, trouble, gone=True),
     "discovery-late": lambda scene, trouble: discovery(scene, trouble, late=micros(trouble.size or 4.0)),
     "discovery-stale": lambda scene, trouble: discovery(scene, trouble, frozen=True),
+    "discovery-crowded": discovery_crowded,
     "link-loss": link_loss,
     "partition": partition,
     "spoilt": spoilt,
--- a/tests/trial/planted.py
+++ b/tests/trial/planted.py
@@ -1,5 +1,8 @@
 """Balancers with one defect each, planted on purpose, and the days on which it shows."""
 
+import tomllib
+from pathlib import Path
+
 from orchidgap.decisions.rules import FELL, Balancer, Dispatch, Origin, Placement
 from orchidgap.http1 import codec as http
 from orchidgap.net.trip import Trip
@@ -116,6 +119,53 @@
         self.merging.take = lambda req, host=None: self.placement.take(req)
 
 
+class HoldsIdle(Defect):
+    """A drain lets nobody go who asks nothing."""
+
+    def __init__(self, terms, port, seed, now):
+        super().__init__(terms, port, seed, now)
+        port.clients.release = lambda: None
+
+
+class KeepsItsCount(Defect):
+    """New settings say fewer dispatches, and the old number goes on."""
+
+    def on_terms(self, terms):
+        super().on_terms(terms._replace(max_dispatches=self.terms.max_dispatches))
+
+
+class EndsAtOnce(Defect):
+    """Told to end while another process is there, it leaves what it has."""
+
+    def __init__(self, terms, port, seed, now):
+        super().__init__(terms, port, seed, now)
+        port.leave = port.end
+
+
+class CutsFlows(Defect):
+    """A large answer is cut off when its req's time would have been up."""
+
+    def on_outcome(self, id, number, verdict, over):
+        exchange = self.port.reqs.get(id)
+        if exchange and exchange.giving:
+            self.port.loop.later(200_000, self.cut, exchange)
+        super().on_outcome(id, number, verdict, over)
+
+    def cut(self, exchange):
+        if exchange.giving:
+            exchange.giving.settle(exchange.giving.stop("overdue").verdict)
+
+
+class AsksForEver(Defect):
+    """Discovery that turns it away is asked again at once."""
+
+    def on_hosts(self, scope, entries):
+        registry = getattr(self.port, "registry", None)
+        if registry:
+            registry.ended = lambda what: (registry.drop(), registry.set_timer(1_000, registry.ask))
+        super().on_hosts(scope, entries)
+
+
 class LeavesTheGroup(Defect):
     """A uniqued req that may have run goes to whichever origin is next."""
 
@@ -280,6 +330,14 @@
 ONCE = USUAL | {"ceilings": {"may-double": False}}
 FAILS = USUAL | {"cache": {"errors": 0.5}}
 
+TRIALS = Path(__file__).parents[2] / "trials"
+
+
+def shipped(name, **more):
+    """A plan of the operators' days, as a day here."""
+    return tomllib.loads((TRIALS / f"{name}.toml").read_text()) | more
+
+
 # the defect, its day, the rule that it breaks
 PLANTED = [
     (ResendsAnything, BUSY | {"origin": {"errors": 0.2, "uneven": 0.0}}, "twice"),
@@ -301,4 +359,10 @@
     (HangsUp, CROWDED, "lost"),
     (MakesUpIds, USUAL, "lost"),
     (CutsAnswersShort, USUAL, "lost"),
+    (HoldsIdle, shipped("ops-drain", rate=3.0, trouble=[
+        {"kind": "load", "at-s": 1, "for-s": 2, "size": 60}, {"kind": "quiesce", "at-s": 4, "part": 0.4}]), "lost"),
+    (KeepsItsCount, shipped("ops-retune"), "twice"),
+    (EndsAtOnce, shipped("ops-upgrade"), "lost"),
+    (CutsFlows, shipped("ops-bulk"), "lost"),
+    (AsksForEver, shipped("ops-herd"), "cold"),
 ]
