--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -15,8 +15,9 @@
 from heapq import heappop
 from pathlib import Path
 from typing import Any
+from weakref import WeakKeyDictionary
 
-from orchidgap.net.connection import Address, Fault, Reach, dial
+from orchidgap.net.connection import RESET, Address, Fault, Reach, dial
 from orchidgap.net.loop import LONGEST, READ, Loop, Timer
 
 START = 1_700_000_000_000_000  # Unix time in microseconds that virtual time begins at
@@ -270,6 +271,7 @@
         self.doors: dict[Address, Accept | Queue] = {}
         self.silent: dict[Address, bool] = {}
         self.cut: dict[tuple[str, Address], bool] = {}  # a balancer's name, and what it cannot reach
+        self.nears: WeakKeyDictionary[socket.socket, socket.socket] = WeakKeyDictionary()  # by a host's end
         self.round_trip: Callable[[str, Address], int] = lambda who, address: 400
 
     def listen(self, address: Address, accept: Accept) -> None:
@@ -301,6 +303,7 @@
             return near
         up = self.loop.time + max(1, self.round_trip(who, address))
         share.opening[near] = up
+        self.nears[far] = near
         door = self.doors.get(address)
         if door is None or isinstance(door, Queue):
             near.send(b"?")
@@ -309,6 +312,13 @@
             self.loop.at(up - 1, self.enter, address, far, who)
         return near
 
+    def reset(self, far: socket.socket) -> None:
+        """What a host's process leaves behind as it dies: closed on an unread byte, its end is an error."""
+        near = self.nears.get(far)
+        if near and near.fileno() >= 0:
+            with suppress(OSError):
+                near.send(b"?")
+
     def enter(self, address: Address, far: socket.socket, who: str) -> None:
         door = self.doors.get(address)
         if door is None or isinstance(door, Queue):
@@ -357,6 +367,10 @@
                 self.loop.unwatch(listener)
             listener.close()
 
+    def reset(self, far: socket.socket) -> None:
+        with suppress(OSError):
+            far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
     def hush(self, address: Address, silent: bool) -> None:
         """The system still lets some connections in; nobody reads what comes on them."""
         listener, ready = self.doors[address]
--- a/orchidgap/trial/stores.py
+++ b/orchidgap/trial/stores.py
@@ -405,6 +405,7 @@
         self.load.clear()
         self.loaded = 0
         for link in list(self.links):
+            self.scene.ground.reset(link.conn.sock)
             link.close()
         self.kept.clear()
 
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -406,6 +406,8 @@
     assert net.node.life.state.value == "draining"
     net.says(far, b"x" * 99_995)
     assert len(heard(client)) > 99_995
+    assert heard(client) == "", "its head went out before the drain and promised more, but there is no more"
+    client.close()
     net.wait(100_000)
     assert net.node.life.state.value == "drained"
 
