In an upgrade what flows goes over too, with where its framing stands

Change: http1/moving.py (reqs in part, answers and bodies that flow, as descriptors with a text), http1/standing.py and chunks.py (the text that makes a fresh parser stand there); a failed dispatch of a req that came over gets the final answer its rule set had coming.

--- a/orchidgap/http1/codec.py
+++ b/orchidgap/http1/codec.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from orchidgap.http1.chunks import Chunks
+
 MOST_HEAD = 1 << 14
 KEPT = 1 << 16         # bytes of a body that is kept whole; a larger one flows
 MOST_BODY = 40 << 20   # of one that flows
@@ -25,8 +27,8 @@
 class Message:
     """One message as far as it has come. `parts` are those of its body that nobody has taken yet."""
 
-    __slots__ = ("came", "fields", "headed", "lasts", "length", "method", "parts", "raw", "size", "status",
-                 "target", "trouble", "version", "whole")
+    __slots__ = ("came", "chunks", "fields", "headed", "lasts", "length", "method", "parts", "raw", "size",
+                 "status", "target", "text", "trouble", "version", "whole")
 
     def __init__(self) -> None:
         self.headed = self.whole = False
@@ -40,6 +42,8 @@
         self.parts: list[bytes] = []
         self.came = 0         # when its last byte did, in microseconds, 0 until it is known
         self.size = self.raw = 0  # bytes of its body, and of all of it
+        self.text: bytes | None = b""  # its head so far, where it comes in pieces; None: not known
+        self.chunks: Chunks | None = None  # where its body stands, if that comes in chunks
 
     def take(self) -> list[bytes]:
         """What has come of its body since it was last taken."""
@@ -66,9 +70,12 @@
         self.message = self.into = Message()  # the oldest that is not done with; the one that comes in
         self.begun = False  # anything has come of the oldest
         self.extra = False  # more has come than may
+        self.heads = 0      # that ended since the oldest began, interim ones too
 
     def feed(self, view: memoryview) -> None:
         self.begun = True
+        before = self.into
+        headed = before.headed
         self.into.raw += len(view)
         try:
             self.parser.feed_data(view)
@@ -80,11 +87,37 @@
             else:
                 self.fail(400)
         into = self.into
+        if into is not before or not into.headed:
+            self.keep_head(view, into is before)
+        elif into.chunks and not into.whole:
+            self.keep_count(view, headed)
         if not into.headed and into.raw > MOST_HEAD:
             self.fail(431)
         elif into.raw > MOST_HEAD + KEPT + PADDING * into.size:  # extensions, or trailers, without end
             self.fail(413)
 
+    def keep_head(self, view: memoryview, alone: bool) -> None:
+        """Of a head in pieces; one that shares its first piece with another message is not known."""
+        into = self.into
+        into.chunks = None
+        into.text = into.text + bytes(view) if alone and into.text is not None else None
+
+    def keep_count(self, view: memoryview, headed: bool) -> None:
+        """Where its chunks stand, from the end of its head on."""
+        into = self.into
+        assert into.chunks
+        if headed:
+            return into.chunks.feed(bytes(view))
+        if into.text is None:
+            into.chunks = None
+            return
+        text = (into.text + bytes(view)).lstrip(b"\r\n")
+        place = 0
+        for _ in range(self.heads):
+            place = text.index(b"\r\n\r\n", place) + 4
+        into.text = None
+        into.chunks.feed(text[place:])
+
     def beyond(self) -> None:
         """What came behind a whole message is none."""
         self.extra = True
@@ -106,10 +139,13 @@
     def on_headers_complete(self) -> None:
         into = self.into
         into.headed = True
+        self.heads += 1
         into.version = self.parser.get_http_version()
         packed = into.fields.get(b"transfer-encoding")
         if packed is not None and (packed.lower() != b"chunked" or into.version != "1.1"):
             self.fail(400)  # what it is packed in would go on as if it were the body
+        elif packed is not None:
+            into.chunks = Chunks()
         length = into.fields.get(b"content-length")
         if length is not None:
             if length.isdigit():
@@ -172,7 +208,7 @@
 
     def next(self) -> None:
         """The oldest is done with."""
-        self.begun = bool(self.behind)
+        self.begun, self.heads = bool(self.behind), 0
         if not self.behind:
             self.behind.append(Message())
             self.into = self.behind[0]
@@ -208,6 +244,7 @@
     def reset(self) -> None:
         self.message = self.into = Message()
         self.begun = self.extra = False
+        self.heads = 0
 
     def feed(self, view: memoryview) -> None:
         if self.into.whole:
@@ -237,7 +274,9 @@
         if not self.into.whole:
             super().on_message_complete()
         if 100 <= self.into.status < 200 and not self.extra:
+            text, raw = self.into.text, self.into.raw
             self.into.__init__()  # type: ignore[misc]  # the answer itself is still to come
+            self.into.text, self.into.raw = text, raw
 
     def ended(self) -> bool:
         """Whether the end of the connection made the answer whole."""
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -171,6 +171,29 @@
             if self.source and self.conn.out:
                 self.source.hold(True)
 
+    # --- between two processes of this balancer
+
+    def let_go(self) -> None:
+        """It goes on elsewhere: nothing more is done with it here."""
+        self.asked = self.flow = self.source = None
+        self.giving = False
+        self.close()
+
+    def go_on_giving(self, asked: Asked, source: Connection, chunked: bool, last: bool, out: bytes) -> None:
+        """It comes from elsewhere, in the middle of an answer of which this was still to be written."""
+        self.asked, self.giving, self.source, self.chunked, self.last = asked, True, source, chunked, last
+        self.reader.begun = True
+        self.conn.drained = self.read_on
+        if out:
+            self.conn.send(out)
+        if self.conn.out:
+            source.hold(True)
+
+    def go_on_flowing(self, asked: Asked, flow: Upload) -> None:
+        """It comes from elsewhere, in the middle of a req's body."""
+        self.asked, self.flow, self.marked = asked, flow, self.reader.message.size
+        self.clients.await_req(self)
+
     def read_on(self) -> None:
         if self.source and self.source.open:
             self.source.hold(False)
--- /dev/null
+++ b/orchidgap/http1/moving.py
@@ -0,0 +1,186 @@
+"""Reqs under way that go over to another process of this balancer: what is sent with their connections, and
+how they go on there."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from functools import partial
+from typing import Any
+
+from orchidgap.http1.codec import KEPT, Message
+from orchidgap.http1.front import Client
+from orchidgap.http1.standing import rest_of, whole_of
+from orchidgap.http1.upstream import Hosts, Link, Pool
+from orchidgap.net.flow import Upload
+from orchidgap.net.handover import Moving
+from orchidgap.net.loop import READ
+from orchidgap.net.node import Exchange, Node
+from orchidgap.net.trip import Trip
+
+MOST = 120_000  # bytes that still wait to be written, with which one goes
+
+
+def under_way(node: Node) -> Iterator[Moving]:
+    """Those that can go now, each as it stands."""
+    for client in list(node.clients.open):
+        assert isinstance(client, Client)
+        if not client.conn.open or client.conn.closing or client.reader.behind or client.reader.extra:
+            continue
+        if client.giving:
+            moving = giving(node, client)
+        elif client.flow:
+            moving = flowing(node, client)
+        elif client.begun and not client.asked and client in node.clients.unasked:
+            moving = begun(client)
+        else:
+            continue
+        if moving and len(moving.raw) <= MOST:
+            yield moving
+
+
+def begun(client: Client) -> Moving | None:
+    """A req that has come in part, and that nobody has been asked for."""
+    text = whole_of(client.reader.message)
+    return Moving(["begun"], text, [client.conn.sock], client.close) if text else None
+
+
+def giving(node: Node, client: Client) -> Moving | None:
+    """An answer that flows to its client."""
+    exchange = client.asked
+    link = exchange.giving.link if isinstance(exchange, Exchange) and exchange.giving else None
+    if not isinstance(exchange, Exchange) or not isinstance(link, Link) or link.reader.extra:
+        return None
+    message = client.reader.message
+    rest = rest_of(link.reader.message, b"HTTP/%b 200 OK" % link.reader.message.version.encode())
+    if rest is None or not link.conn.open or link.conn.out or link.reader.message.parts:
+        return None
+    told = {"name": exchange.name.decode("latin-1"), "version": message.version, "lasts": message.lasts,
+            "last": client.last, "chunked": client.chunked, "head": rest[0].decode("latin-1"),
+            **place_of(exchange, link)}
+
+    def let_go() -> None:
+        exchange.let_go()
+        link.let_go()
+        client.let_go()
+
+    return Moving(["answer", told], bytes(client.conn.out), [client.conn.sock, link.conn.sock], let_go)
+
+
+def flowing(node: Node, client: Client) -> Moving | None:
+    """A req whose body flows to a host, and is kept no more."""
+    exchange, flow = client.asked, client.flow
+    if not isinstance(exchange, Exchange) or flow is None or not flow.gone or flow.whole or exchange.over:
+        return None
+    link = flow.sink
+    if not isinstance(link, Link) or not link.conn.open or link.conn.opening or link.reader.begun:
+        return None
+    message = client.reader.message
+    rest = rest_of(message, b"PUT / HTTP/%b" % message.version.encode())
+    if rest is None or message.parts or sum(not trip.settled for trip in exchange.trips) != 1:
+        return None
+    told = {"name": exchange.name.decode("latin-1"), "left": exchange.left, "size": message.size,
+            "length": message.length, "chunked": link.chunked, "head": rest[0].decode("latin-1"),
+            "last_word": node.last_word(exchange.id), **place_of(exchange, link)}
+
+    def let_go() -> None:
+        exchange.let_go()
+        link.let_go()
+        client.let_go()
+        node.decide(node.balancer.on_hangup, exchange.id)
+
+    return Moving(["upload", told], bytes(link.conn.out), [client.conn.sock, link.conn.sock], let_go)
+
+
+def place_of(exchange: Exchange, link: Link) -> dict[str, Any]:
+    host = next((trip.host for trip in exchange.trips if trip.link is link), "")
+    return {"host": host, "at": link.pool.address}
+
+
+def arrives(node: Node, words: list[Any], raw: bytes, socks: list[socket.socket]) -> None:
+    """One of them, with its connections. Raises ValueError and the like where it makes no sense, and closes
+    both then."""
+    ends: list[Client | Link] = []
+    try:
+        client = enter(node, socks[0])
+        ends.append(client)
+        if words[0] == "begun":
+            node.clients.await_req(client)
+            client.received(memoryview(bytearray(raw)))
+        else:
+            link = link_to(node, words[1]["host"], words[1]["at"], socks[1])
+            ends.append(link)
+            go_on(node, words, raw, client, link)
+            if link.conn.open:
+                link.conn.ready(READ)
+        client.conn.ready(READ)
+    except Exception:
+        for end in ends:
+            end.close()
+        for sock in socks[len(ends):]:
+            sock.close()
+        raise
+
+
+def go_on(node: Node, words: list[Any], raw: bytes, client: Client, link: Link) -> None:
+    """Both as they stood there."""
+    told = words[1]
+    name, head = told["name"].encode("latin-1"), memoryview(bytearray(told["head"].encode("latin-1")))
+    if words[0] == "answer":
+        exchange = Exchange(node, node.number(), name, client, b"", b"", 0, None, timed=False)
+        trip = link.trip = trip_of(exchange, told["host"], link, None)
+        link.reader.feed(head)
+        link.reader.message.take()
+        message = client.reader.message = client.reader.into = Message()
+        message.headed = message.whole = True
+        message.method, message.version, message.lasts = b"GET", str(told["version"]), bool(told["lasts"])
+        exchange.go_on(trip, giving=True)
+        client.go_on_giving(exchange, link.conn, bool(told["chunked"]), bool(told["last"]), raw)
+        link.taker = client
+        link.pool.hosts.flows[link] = None
+    else:
+        client.reader.feed(head)
+        message = client.reader.message
+        message.take()
+        length = told["length"]
+        message.size, message.length = int(told["size"]), None if length is None else int(length)
+        flow = Upload(client.conn, message.length, KEPT)
+        flow.gone, flow.size = True, message.size
+        exchange = Exchange(node, node.number(), name, client, b"", b"", int(told["left"]), flow)
+        exchange.last_word = int(told["last_word"])
+        trip = link.trip = trip_of(exchange, told["host"], link, flow)
+        exchange.go_on(trip, giving=False)
+        client.go_on_flowing(exchange, flow)
+        link.chunked, link.conn.drained = bool(told["chunked"]), flow.pace
+        if raw:
+            link.conn.send(raw)
+        flow.sink = link
+        flow.pace()
+
+
+def enter(node: Node, sock: socket.socket) -> Client:
+    client = node.clients.make(node.clients, sock)
+    assert isinstance(client, Client)
+    node.clients.open[client] = None
+    return client
+
+
+def link_to(node: Node, host: Any, at: Any, sock: socket.socket) -> Link:
+    """In the pool of its host; in one that nothing else is sent on, where the list knows no such host."""
+    hosts, address = node.hosts, (str(at[0]), int(at[1]))
+    assert isinstance(hosts, Hosts)
+    pool = hosts.pools.get(str(host))
+    if pool is None or pool.address != address:
+        pool = Pool(hosts, address)
+        pool.retired = True
+    link = Link(pool, sock, None)
+    link.start = -1  # it has been written on
+    link.heard_at = node.loop.now
+    pool.add(link)
+    return link
+
+
+def trip_of(exchange: Exchange, host: Any, link: Link, flow: Upload | None) -> Trip:
+    trip = Trip(b"", b"", exchange.due, partial(exchange.came_back, 0), flow, partial(exchange.begin, 0))
+    trip.host, trip.link = str(host), link
+    return trip
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -143,6 +143,13 @@
         if trip and trip.flow:
             trip.flow.leave(self)
 
+    def let_go(self) -> None:
+        """It goes on in another process: nothing comes of its trip here."""
+        if self.trip:
+            self.trip.settled, self.trip.link = True, None
+            self.trip.flow = None
+        self.close()
+
     def forget_timer(self) -> None:
         if self.timer:
             self.timer.cancel()
--- a/orchidgap/net/handover.py
+++ b/orchidgap/net/handover.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
+import errno
 import os
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 from zlib import crc32
 
 import orjson
@@ -26,13 +27,14 @@
     from orchidgap.net.node import Node
 
 FORM = 1              # of the packets; a process that speaks another one is left alone
-MOST = 1 << 16        # bytes of a packet
+MOST = 1 << 18        # bytes of a packet
 AT_ONCE = 24          # descriptors in a packet
 BEHIND = 256          # packets that may wait for a process that does not read
 PART = 32             # hosts in a packet
 ESTATE_WITHIN = 1_500_000  # for the other process to tell what it knows; then it is done without
 TICK = 5_000          # how often each tells the other what it holds
 LEAST = 64            # descriptors that a newcomer is left in any case
+LATER = SHORT | {errno.ETOOMANYREFS, errno.EMSGSIZE}  # not now, and perhaps not at all
 CREDENTIALS = struct.Struct("3i")
 
 
@@ -53,14 +55,25 @@
     return listener
 
 
+class Moving(NamedTuple):
+    """A req that goes on in another process."""
+
+    words: list[Any]
+    raw: bytes                  # what goes with them
+    socks: list[socket.socket]  # its connections
+    let_go: Callable[[], None]  # called once they have gone
+
+
 class Passage:
-    """Packets between two processes, with the descriptors that go with them. Each is a list: a word, more."""
+    """Packets between two processes, with the descriptors that go with them. Each is a line that holds a list
+    (a word and more), and what is behind that line."""
 
-    def __init__(self, loop: Loop, sock: socket.socket, heard: Callable[[list[Any], list[int]], None],
+    def __init__(self, loop: Loop, sock: socket.socket, heard: Callable[[list[Any], bytes, list[int]], None],
                  ended: Callable[[str], None]) -> None:
         self.loop, self.sock, self.heard, self.over = loop, sock, heard, ended
         self.behind: deque[bytes] = deque()
         sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * MOST)
         self.mask = READ
         loop.watch(sock, READ, self.ready)
 
@@ -85,16 +98,16 @@
             self.mask = mask
             self.loop.rewatch(self.sock, mask, self.ready)
 
-    def hand(self, words: Sequence[Any], socks: Sequence[socket.socket]) -> bool:
+    def hand(self, words: Sequence[Any], socks: Sequence[socket.socket], raw: bytes = b"") -> bool:
         """Descriptors go at once, or not at all; whether they went."""
         if self.behind or self.sock.fileno() < 0:
             return False
         try:
-            socket.send_fds(self.sock, [orjson.dumps(words)], [sock.fileno() for sock in socks])
+            socket.send_fds(self.sock, [orjson.dumps(words), b"\n", raw], [sock.fileno() for sock in socks])
         except BlockingIOError:
             return False
         except OSError as error:
-            if error.errno not in SHORT and error.errno not in (109,):  # ETOOMANYREFS: others still under way
+            if error.errno not in LATER:
                 self.end(error.strerror or "broken")
             return False
         return True
@@ -115,10 +128,11 @@
             if not text:
                 return self.end("closed")
             try:
-                words = orjson.loads(text)
+                line, _, raw = text.partition(b"\n")
+                words = orjson.loads(line)
                 if flags & (socket.MSG_TRUNC | socket.MSG_CTRUNC) or not isinstance(words, list) or not words:
                     raise ValueError("cut off")
-                self.heard(words, fds)
+                self.heard(words, raw, fds)
             except (ValueError, TypeError, LookupError, AttributeError) as trouble:
                 return self.end(f"spoke oddly: {trouble}"[:120])
             finally:
@@ -235,7 +249,7 @@
 
     # --- what they say
 
-    def from_heir(self, words: list[Any], fds: list[int]) -> None:
+    def from_heir(self, words: list[Any], raw: bytes, fds: list[int]) -> None:
         kin, node = self.heir, self.node
         assert kin
         if words[0] == "hello":
@@ -262,7 +276,7 @@
         else:
             raise ValueError(f"what is {words[0]!r}?")
 
-    def from_elder(self, words: list[Any], fds: list[int]) -> None:
+    def from_elder(self, words: list[Any], raw: bytes, fds: list[int]) -> None:
         kin, node = self.elder, self.node
         assert kin
         if words[0] == "room":
@@ -283,6 +297,8 @@
         elif words[0] == "links":
             for fd, tag in zip(fds, words[1]):
                 node.hosts.adopt(tag, socket.socket(fileno=os.dup(fd)))
+        elif words[0] in ("begun", "answer", "upload"):
+            node.parts.arrives(node, words, raw, [socket.socket(fileno=os.dup(fd)) for fd in fds])
         elif words[0] == "now":
             self.hear(kin, *words[1:])
         else:
@@ -372,6 +388,10 @@
                 return
             for _, _, close in some:
                 close()
+        for moving in self.node.parts.under_way(self.node):
+            if not passage.hand(moving.words, moving.socks, moving.raw):
+                return
+            moving.let_go()
 
     # --- how they part
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import partial
 from hashlib import blake2b
 from typing import Any, Protocol, cast
 
 from orchidgap.decisions.lifecycle import Life, State
+from orchidgap.decisions.records import UNRUN
 from orchidgap.decisions.rules import Balancer
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
 from orchidgap.net.flow import Upload
-from orchidgap.net.handover import Handover
+from orchidgap.net.handover import Handover, Moving
 from orchidgap.net.log import Log
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import Entry, Place
@@ -44,11 +45,11 @@
 class Exchange:
     """One req on the network, from its last byte to its answer and the last of its dispatches."""
 
-    __slots__ = ("body", "client", "due", "flow", "giving", "head", "id", "left", "name", "node", "over",
-                 "timer", "trips")
+    __slots__ = ("body", "client", "due", "flow", "giving", "head", "id", "last_word", "left", "name", "node",
+                 "over", "timer", "trips")
 
     def __init__(self, node: Node, id: int, name: bytes, client: Answered, head: bytes, body: bytes,
-                 left: int, flow: Upload | None) -> None:
+                 left: int, flow: Upload | None, timed: bool = True) -> None:
         self.node, self.id, self.client, self.head, self.body, self.left = node, id, client, head, body, left
         self.name = name  # its id with the client
         node.names.add(name)
@@ -58,9 +59,10 @@
         self.flow = flow  # its body, while that comes
         self.timer: Timer | None = None
         self.due = node.loop.now + UPLOAD
+        self.last_word = 0  # its answer, should its dispatch fail, where the decisions do not know it
         if flow:
             flow.on_gone = self.body_gone
-        else:
+        elif timed:
             self.body_came()
 
     def body_came(self) -> None:
@@ -117,6 +119,8 @@
         if not self.over:
             self.close()
             self.node.decide(self.node.balancer.on_hangup, self.id)
+            for trip in self.trips if self.last_word else ():  # the decisions do not know it
+                self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
 
     def overdue(self) -> None:
         """Its time is up: what is out has timed out, and the answer goes out now whatever comes of that."""
@@ -140,8 +144,26 @@
             trip = self.trips[number]
             self.answer(200 if verdict == "done" else 400, body, length=trip.length if trip.bare else None)
         self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
+        if self.last_word and not self.over:
+            self.answer(503 if verdict in UNRUN else self.last_word)
         self.node.tidy(self)
 
+    # --- between two processes of this balancer
+
+    def let_go(self) -> None:
+        """It goes on elsewhere."""
+        self.over, self.giving = True, None
+        if self.timer:
+            self.timer.cancel()
+        self.node.names.discard(self.name)
+        self.node.reqs.pop(self.id, None)
+
+    def go_on(self, trip: Trip, giving: bool) -> None:
+        """It comes from elsewhere, with its dispatch, whose answer flows already or is awaited."""
+        self.trips, self.over = [trip], giving
+        self.giving = trip if giving else None
+        self.node.reqs[self.id] = self
+
 
 class Listing(Protocol):
     """Who tells of the hosts."""
@@ -164,6 +186,12 @@
 
     def listing(self, node: Node, dial: Dial) -> Listing: ...
 
+    def under_way(self, node: Node) -> Iterable[Moving]:
+        """Reqs that can go on in another process of this balancer."""
+
+    def arrives(self, node: Node, words: list[Any], raw: bytes, socks: list[socket.socket]) -> None:
+        """One that came from another; what makes no sense raises ValueError, or the like."""
+
 
 class Node:
     """The `ports.Port` of the decisions and the `clients.Door` of the clients."""
@@ -171,7 +199,7 @@
     def __init__(self, loop: Loop, station: Station, log: Log, parts: Parts, dial: Dial = dial,
                  decider: Callable[..., Any] = Balancer) -> None:
         self.loop, self.note = loop, log
-        self.station = station
+        self.station, self.parts = station, parts
         self.reqs: dict[int, Exchange] = {}
         self.names: set[bytes] = set()  # of reqs that are owed an answer
         self.count = 0
@@ -226,9 +254,21 @@
     def shed(self) -> bool:
         return self.hosts.shed()
 
+    def number(self) -> int:
+        """Of the next req."""
+        self.count += 1
+        return self.count
+
+    def last_word(self, id: int) -> int:
+        """The answer to a req whose one dispatch may have run and failed: whether a retry is harmless."""
+        req = self.balancer.reqs.get(id)
+        rule_set = req.rule_set if req else None
+        harmless = rule_set and (rule_set.replayable or rule_set.uniqued and rule_set.group == "all")
+        return 503 if harmless else 500
+
     def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
              tenant: str, head: bytes, body: bytes, slot: int = -1, flow: Upload | None = None) -> None:
-        self.count += 1
+        self.number()
         exchange = caller.asked = self.reqs[self.count] = Exchange(
             self, self.count, id, caller, head, body, left, flow)
         more = [slot] if slot >= 0 or flow else []
--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -11,6 +11,7 @@
 from orchidgap.decisions.slots import Map
 from orchidgap.net.connection import Address
 from orchidgap.net.doorway import Clients
+from orchidgap.net.handover import Moving
 from orchidgap.net.node import Dial, Node
 from orchidgap.net.places import address_of
 from orchidgap.resp.commands import Command
@@ -82,6 +83,13 @@
             node.loop, most, node.station.connect_within, self.secret, dial, self.redirected, self.doubted
         )
 
+    def under_way(self, node: Node) -> list[Moving]:
+        """Where their links stand cannot be told in a few words: clients are let go with their answers."""
+        return []
+
+    def arrives(self, node: Node, words: list[Any], raw: bytes, socks: list[socket.socket]) -> None:
+        raise ValueError("nothing comes over here")
+
     def listing(self, node: Node, dial: Dial) -> Mapper:
         node.balancer.owners = Map(node.balancer.rng, node.loop.now)
         self.mapper = Mapper(node, node.balancer.owners, self.seeds, self.secret, dial)
