--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -50,6 +50,7 @@
         self.next: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self.count = 0
         self.running = True
+        self.longest = 0  # microseconds that one round has taken, but for its wait
         self.now = self.looked = self.since = self.clock()  # since: nothing that is ready now was so before
         self.buffer = memoryview(bytearray(1 << 16))  # what is read stands here until the next read
 
@@ -103,6 +104,8 @@
         for _ in range(len(self.next)):
             act, args = self.next.popleft()
             self.call(act, *args)
+        if (took := self.clock() - self.looked) > self.longest:
+            self.longest = took
 
     def call(self, act: Callable[..., None], *args: Any) -> None:
         try:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -416,6 +416,7 @@
         self.loop.later(TICK, self.attend, change)
 
     def end(self) -> None:
-        self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()))
+        self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()),
+                  longest_turn_ms=self.loop.longest // 1000)
         self.handover.close()
         self.loop.running = False
--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -173,6 +173,7 @@
         self.buffer = world.buffer
         self.now = self.looked = self.since = world.time
         self.running, self.dead = True, False
+        self.longest = 0  # in virtual time no turn takes any
         self.stands_until = 0
         self.socks: dict[Any, tuple[int, Callable[[int], None]]] = {}
         self.opening: dict[socket.socket, int | None] = {}  # dialled: when it is up; None for never
