--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -216,7 +216,8 @@
                 right.size += host.size - host.size // 2
         if not ring:
             ring += ready
-            self.resize([SPACE / len(ring) for _ in ring])
+            self.cut()
+            self.resize([self.share(host) for host in ring])
         for i, host in enumerate(ready):  # both in the order of ids: no search, as fleets grow by hundreds
             if ring[i:i + 1] != [host]:
                 giver = max(ring[max(i - 1, 0):i + 1], key=lambda other: other.sends)
@@ -225,19 +226,23 @@
                 ring.insert(i, host)
         self.cut()
 
+    def share(self, host: Host) -> float:
+        """The even share of the space, by what the list says of the cache's size."""
+        return SPACE * host.rating / self.heft
+
     def cut(self) -> None:
         self.cuts = list(accumulate(host.size for host in self.ring))
         self.heft = sum(host.rating for host in self.ring) or 1.0
 
     def resize(self, sizes: list[float]) -> None:
-        """Sizes under a quarter of the even share are raised to it, the rest rescaled to fill the space."""
-        floor = SPACE / len(sizes) / 4 if sizes else 0.0
+        """Sizes under a quarter of a cache's share are raised to it, the rest rescaled to fill the space."""
+        floors = [self.share(host) / 4 for host in self.ring]
         raised: set[int] = set()
-        while low := {i for i, size in enumerate(sizes) if size < floor and i not in raised}:
+        while low := {i for i, size in enumerate(sizes) if size < floors[i] and i not in raised}:
             raised |= low
             rest = sum(size for i, size in enumerate(sizes) if i not in raised)
-            scale = (SPACE - floor * len(raised)) / rest
-            sizes = [floor if i in raised else size * scale for i, size in enumerate(sizes)]
+            scale = (SPACE - sum(floors[i] for i in raised)) / rest
+            sizes = [floors[i] if i in raised else size * scale for i, size in enumerate(sizes)]
         ends = [round(end * SPACE / sum(sizes)) for end in accumulate(sizes)]
         for host, start, end in zip(self.ring, [0] + ends, ends):
             host.size = end - start
@@ -252,10 +257,10 @@
         told = sum(host.rate >= 0 for host in warm) * 2 > n
         counts = {host: host.rate if told else host.sends / (now - host.counted)  # a joiner had less time
                   for host in warm if not told or host.rate >= 0}
-        mean = sum(counts.values()) / len(counts) if counts else 0.0
-        loads = [counts.get(host, mean) for host in ring]
+        mean = sum(counts.values()) / sum(host.rating for host in counts) if counts else 0.0
+        loads = [counts.get(host, mean * host.rating) for host in ring]
         if total := sum(loads):  # half way only: sizes that start anew from the even share spring back
-            drawn = [SPACE / n + SPACE * (1 / n - load / total) for load in loads]
+            drawn = [2 * self.share(host) - SPACE * load / total for host, load in zip(ring, loads)]
             self.resize([(host.size + size) / 2 for host, size in zip(ring, drawn)])
         for host in ring:
             host.sends, host.counted = 0, now
@@ -505,7 +510,7 @@
             self.hosts[id] = host
             if since != host.since:
                 self.restart(host, since)
-            host.state, host.zone, host.cell, host.rating = state, zone, cell, rating
+            host.state, host.zone, host.cell, host.rating = state, zone, cell, max(rating, 1e-6)
         self.hosts = {id: host for id, host in sorted(self.hosts.items()) if id not in gone}
         ready = [host for host in self.hosts.values() if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
