--- a/orchidgap/decisions/ports.py
+++ b/orchidgap/decisions/ports.py
@@ -27,8 +27,5 @@
     def subscribe(self) -> None:
         """Ask for the host list and all later changes to it."""
 
-    def tell(self, peer: int | None, text: bytes) -> None:
-        """A short message to one other balancer by its number, or to all."""
-
     def log(self, line: str) -> None:
         """One line for the operators."""
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -15,7 +15,6 @@
 
     id: str
     is_origin: bool
-    code: int              # its id in messages
     state: str = ""
     since: int = -1        # its last start, as listed; 0 for long ago
     zone: str = ""
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -1,7 +1,7 @@
 """All decisions of the balancer.
 
 A host program makes one `Balancer` an instance, sets `now` (whole microseconds) before each call, and calls
-`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_wake`, `on_report` and `pool.hear` as things happen.
+`on_hosts`, `on_req`, `on_outcome`, `on_hangup`, `on_wake` and `on_report` as things happen.
 The balancer acts through `ports.Port`; what it reads at start is `terms.ServiceTerms`.
 A req runs down the chain Admission, Merging, Placement, Origin, Dispatch; what comes back runs up it.
 """
@@ -20,13 +20,12 @@
 from orchidgap.decisions.ports import Port
 from orchidgap.decisions.records import Host, Req, Sent
 from orchidgap.decisions.slots import Map, Turn, turn
-from orchidgap.decisions.tally import ALL, MINE, ROW, SLOTS, SUMS, Tally, code_of, rows, texts
 from orchidgap.decisions.terms import ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
 RECOVERY = 24  # response targets, and reqs for the host, until a limit that fell to nothing is one again
-TICK, POOL_GAP, BREATHER = 500_000, 1_000_000, 50_000
+TICK, BREATHER = 500_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 24.0  # dispatches out at one host, from all instances together
 FELL = frozenset(("full", "unconnected", "refused", "error", "reset", "stale"))  # another dispatch may do
@@ -53,7 +52,6 @@
         if req.tenant in self.shed:
             if desk.rng.random() < self.shed[req.tenant]:
                 return desk.finish(req)
-            desk.pool.note(desk.pool.codes[req.tenant], 1)
             self.let_in[req.tenant] += desk.terms.instances == 1
         age = desk.placement.oldest_wait()
         self.worst = max(self.worst, age, desk.origin.oldest_wait())
@@ -119,17 +117,15 @@
         super().__init__(desk)
         self.ring: list[Host] = []  # ready caches by id
         self.cuts: list[int] = []   # where each range ends
-        self.fleet = Host("", False, ALL, credit=2.0)  # all caches together
+        self.fleet = Host("", False, credit=2.0)  # all caches together
         self.fair = inf  # how many dispatches a cache of size one may hold beside the others
-        self.heat: dict[int, float] = {}  # by slot: how often asked in the last seconds, where that is often
-        self.total, self.heft, self.placed, self.drawn_at = 1.0, 1.0, 0, desk.now
+        self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if self.desk.owners:
             return self.owned(req)
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
-        self.desk.pool.note(SLOTS + req.slot, 1)
         if host := None if self.last(req) else self.choose(req):
             return self.next.take(req, host)
         if not req.write and self.desk.origin.spare():  # no cache takes it, and the origin has time
@@ -170,17 +166,13 @@
         if not ring:
             return None
         i = bisect_right(self.cuts, req.slot)
-        heat = self.heat.get(req.slot, 0.0)  # what is surely past one cache's worth is shared, if crowded
-        if heat and ring[i].cut_at and self.desk.now - ring[i].cut_at < RECOVERY * self.desk.target:
-            k = self.desk.rng.randrange(min(n, 1 + int(max(0.0, heat - 2 * heat ** 0.5) * n / self.total)))
-            i = (i + (-k // 2 if k % 2 else k // 2)) % n
         tried = [sent.host for sent in req.sent if sent.verdict not in ("miss", "stale")]
         for step in range(min(2, n // 2) + 1):
             for host in (ring[i - step], ring[(i + step) % n]):  # the owner is asked twice
                 if self.room(host) and host not in tried:
                     return host
                 if not step and not self.desk.fits(host):  # counts twice, or a crowded range grows
-                    self.desk.pool.count(host, 2)
+                    host.sends += 2
         return None
 
     def room(self, host: Host) -> bool:
@@ -330,10 +322,10 @@
         req.bound = None
         req.sent.append(sent)
         req.out, req.waits = req.out + 1, False
-        desk.pool.count(host, 1)
+        host.sends += 1
         if not host.is_origin:
             desk.placement.placed += 1
-            desk.pool.count(desk.placement.fleet, 1)
+            desk.placement.fleet.sends += 1
         if not req.flows:
             self.begin(sent)
         desk.port.dispatch(req.id, host.id)
@@ -381,7 +373,7 @@
         elif verdict in FELL and verdict != "stale":
             spoilt = verdict in ("error", "reset")
             host.credit = max(0.0, host.credit - spoilt)
-            desk.pool.count(host, verdict == "full")
+            host.sends += verdict == "full"
             if verdict == "refused" and not (host.is_origin or desk.owners):  # the next process is cold
                 host.warm_at, host.seen = now + desk.terms.warm_after, desk.placement.placed
             if not spoilt or host.credit < 1.0:  # a spoilt answer among many says nothing of the host
@@ -391,19 +383,17 @@
         self.prev.back(req, sent)
 
     def heard(self, host: Host, took: int) -> None:
-        self.desk.pool.note(host.code, 0, took)
         self.judge(host, took)
         if not host.is_origin:
-            self.desk.pool.note(ALL, 0, took)
             self.judge(self.desk.placement.fleet, took)
 
     def slowness(self, host: Host) -> float:
         return host.lag / (self.desk.target * (0.6 if host.is_origin else 0.25))
 
-    def judge(self, host: Host, took: int, weight: int = 2) -> None:
+    def judge(self, host: Host, took: int) -> None:
         """The limit follows the lag: it falls while answers are slow, else grows where it is used."""
         lag = (self.desk.now - host.judged_at < REDRAW_GAP and host.lag) or took  # an old lag says nothing
-        host.lag, host.judged_at = lag + (took - lag) * weight // 16, self.desk.now
+        host.lag, host.judged_at = lag + (took - lag) // 8, self.desk.now
         if (slow := self.slowness(host)) > 1.0:
             self.cut(host, max(0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
@@ -419,62 +409,6 @@
             host.cut_at, host.asked = self.desk.now, 0
 
 
-class Pool:
-    """What all see, where they may talk: each balancer tells one, in turn, which tells the sums to all."""
-
-    def __init__(self, desk: Balancer) -> None:
-        self.desk, self.on = desk, desk.terms.peer_messages and desk.terms.instances > 1
-        self.hosts: dict[int, Host] = {}
-        self.follow()
-        self.seen, self.sums = Tally(), Tally()  # own counts; those of all, while it is this one's turn
-
-    def follow(self) -> None:
-        self.unit = max(1, self.desk.target // 64)
-        self.codes = {name: code_of(name) for name in self.desk.terms.tenants}
-        self.names = {code: name for name, code in self.codes.items()}
-
-    def note(self, code: int, asked: int, took: int = 0) -> None:
-        if self.on:
-            self.seen.add(code, asked, took > 0, took)
-
-    def count(self, host: Host, sends: int) -> None:
-        host.sends += 0 if self.on else sends  # else they come back with the sums, the same for all balancers
-        self.note(host.code, sends)
-
-    def tick(self) -> None:
-        desk, me = self.desk, self.desk.terms.slot_no
-        turn, place = desk.now // POOL_GAP % desk.terms.instances, desk.placement
-        place.total = max(1.0, place.total * 0.8)
-        place.heat = {slot: heat * 0.8 for slot, heat in place.heat.items() if heat > 1.0}
-        if self.sums.rows and turn != me:
-            asked, self.sums, sums = self.sums.asked(ALL), Tally(), self.sums.rows
-            often = max(2, asked // 2 // max(1, len(place.ring)))
-            told = sorted((item for item in sums.items() if item[0] < SLOTS or item[1][0] >= often),
-                          key=lambda item: (item[0] in self.hosts and item[0] != ALL, -item[1][2], item[0]))
-            most = max(1, 256 * asked // ROW.size // desk.terms.instances)  # a message a req: the price
-            for text in texts(told[:most], SUMS, self.unit):
-                desk.port.tell(None, text)
-                self.hear(text)
-        for text in texts(list(self.seen.rows.items()), MINE, self.unit):
-            self.hear(text) if turn == me else desk.port.tell(turn, text)
-        self.seen = Tally()
-
-    def hear(self, text: bytes) -> None:
-        place, (what, told) = self.desk.placement, rows(text, self.unit)
-        for code, asked, took in told:
-            if what == MINE:
-                self.sums.add(code, asked, (took > 0) * max(1, asked), took * max(1, asked))
-            elif code >= SLOTS:
-                place.heat[code - SLOTS] = place.heat.get(code - SLOTS, 0.0) + asked
-            elif code in self.names:
-                self.desk.admission.let_in[self.names[code]] += asked
-            elif code in self.hosts:
-                place.total += asked if code == ALL else 0
-                self.hosts[code].sends += asked
-                if took and self.hosts[code].limit < 4.0:  # above, a balancer has answers enough of its own
-                    self.desk.sender.judge(self.hosts[code], took, min(16, asked))
-
-
 class Balancer(Door):
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
@@ -486,7 +420,6 @@
         self.target = terms.target
         self.failures = 0  # of calls for the list, in a row
         self.owners: Map | None = None  # of slots, where servers own them
-        self.pool = Pool(self)
         self.admission, self.merging = Admission(self), Merging(self)
         self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
         link(self.admission, self.merging, self.placement, self.origin, self.sender)
@@ -507,7 +440,6 @@
         """They count for reqs from now on; those that are open keep theirs. What was counted lives on."""
         self.terms, self.target = terms, terms.target
         self.admission.follow()
-        self.pool.follow()
         self.pump()
 
     def on_whole(self, id: int, left: int) -> None:
@@ -532,7 +464,7 @@
             (gone.add if state == "gone" else gone.discard)(id)
             if state == "gone":
                 continue
-            host = self.hosts.get(id) or Host(id, kind == self.terms.origin_kind, code_of(id))
+            host = self.hosts.get(id) or Host(id, kind == self.terms.origin_kind)
             self.hosts[id] = host
             if since != host.since:
                 self.restart(host, since)
@@ -541,7 +473,6 @@
         ready = [host for host in self.hosts.values() if host.state == "up"]
         self.origin.hosts = [host for host in ready if host.is_origin]
         self.placement.follow([host for host in ready if not host.is_origin])
-        self.pool.hosts = {host.code: host for host in ready} | {ALL: self.placement.fleet}
         self.pump()
 
     def on_report(self, id: str, rate: float | None, held: float | None = None) -> None:
@@ -573,8 +504,6 @@
     def tick(self, _: None) -> None:
         self.admission.tick()
         self.placement.tick()
-        if self.pool.on and self.now // TICK % 2:
-            self.pool.tick()
         self.pump()
         self.later(TICK, self.tick)
 
@@ -599,8 +528,9 @@
         return not host.load and self.rng.random() < self.chance(host)
 
     def chance(self, host: Host) -> float:
-        """It recovers with time and use: where little goes, no answers come that could raise it."""
-        return min(1.0, host.limit + min((self.now - host.cut_at) / self.target, host.asked) / RECOVERY)
+        """It recovers with time, a cache's with use too: where little goes, no answers come to raise it."""
+        aims = (self.now - host.cut_at) / self.target
+        return min(1.0, host.limit + (aims if host.is_origin else min(aims, host.asked)) / RECOVERY)
 
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
--- a/orchidgap/decisions/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -9,7 +9,7 @@
 
 EFFECTS = ("retryable", "dedup", "fragile")
 GROUPS = ("all", "zone", "cell")
-AT_START = ("peer_messages", "origin_kind", "subscribes")  # what the records of hosts and the talk stand on
+AT_START = ("origin_kind", "subscribes")  # what the records of hosts stand on
 
 
 class BadTerm(LookupError):
@@ -48,8 +48,6 @@
     rule_sets: dict[str, RuleSet]
     tenants: dict[str, Tenant]
     instances: int
-    slot_no: int  # its own number among them
-    peer_messages: bool
     origin_kind: str  # the kind whose entry is the origin; empty where the caches fetch for themselves
     subscribes: bool
     ask_within: int
@@ -117,8 +115,7 @@
         kind = int(number("family-info.origin-kind", len(kinds)))
         aside = pairs.get("family-info.mode") == "aside" and kind < len(kinds)
         return cls(
-            rule_sets, tenants, max(1, int(number("instances", 1))), int(number("slot-no", 0)),
-            yes("ceilings.peer-messages"), kinds[kind] if aside else "",
+            rule_sets, tenants, max(1, int(number("instances", 1))), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
             int(number("ceilings.most-dispatches", 3, over=True)),
             yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -345,9 +345,6 @@
     def subscribe(self) -> None:
         self.registry.ask()
 
-    def tell(self, peer: int | None, text: bytes) -> None:
-        """The protocol has no words for it; `start` tells the decisions so."""
-
     def log(self, line: str) -> None:
         self.note("mode", what=line)
 
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -96,7 +96,6 @@
     if before and (lack := versions.lacks(before.shape, shape, versions.empty_lists(told))):
         raise BadTerm(lack)
     pairs = dict(flat(told["settings"]))
-    pairs["ceilings.peer-messages"] = "false"  # the protocol has no words for them
     limits = told.get("limits") or {}
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(limits.get("sockets") or most), most)
--- a/orchidgap/wirehost/codec.py
+++ b/orchidgap/wirehost/codec.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from base64 import b64decode, b64encode
 from typing import BinaryIO
 
 from orchidgap.decisions.rules import Balancer
@@ -47,9 +46,6 @@
     def subscribe(self) -> None:
         self.say("STREAM_CHANGES 1")
 
-    def tell(self, peer: int | None, text: bytes) -> None:
-        self.say(f"PUBLISH {'*' if peer is None else peer} {b64encode(text).decode()}")
-
     def log(self, line: str) -> None:
         self.say(f"PRINT {line}")
 
@@ -117,8 +113,6 @@
         balancer.on_hangup(int(parts[1]))
     elif name == "STATUS_BACK":
         told(balancer, parts[1], parts[4])
-    elif name == "MAIL":
-        balancer.pool.hear(b64decode(parts[2]))
     elif name == "BACKENDS_CHANGED":
         balancer.on_hosts(SCOPES[parts[1]], entries(more))
 
