A watch mode counts what other settings would decide; sizes and load reports from the configuration

Server-Load is read from answers. A part watch.settings is laid over the settings: the program goes on deciding by its own and counts, by kind, where the others would have differed (orchidgap/decisions/watch.py); orchidgap admin watch tells the counts.

--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -3,7 +3,7 @@
 Usage:
   orchidgap serve [--config=FILE]
   orchidgap check [--config=FILE]
-  orchidgap admin (health | quiesce | resume) [--addr=ADDR] [--config=FILE]
+  orchidgap admin (health | quiesce | resume | watch) [--addr=ADDR] [--config=FILE]
   orchidgap version
   orchidgap try [--seed=N] [--real] [--policy=NAME] [--out=DIR]
   orchidgap trial PLAN [--seed=N] [--real] [--policy=NAME] [--out=DIR]
@@ -16,7 +16,8 @@
 Commands:
   serve     Serve until told to stop (SIGTERM or SIGINT); SIGHUP has the configuration read anew.
   check     Read the configuration as serve would, say what it holds, and end.
-  admin     Ask a running balancer whether it serves, to drain, or to serve again; exit code 1 on FAILURE.
+  admin     Ask a running balancer whether it serves, to drain, to serve again, or what the settings that it
+            watches would have decided otherwise; exit code 1 on FAILURE.
   version   Print the version.
   try       Play ten seconds of a small fleet of stand-ins, in which one cache dies, and draw a report.
   trial     Play a plan and judge it; the last line is the verdict as JSON, exit code 1 where a rule broke.
@@ -51,7 +52,7 @@
 from orchidgap.net.serve import serve
 from orchidgap.parts import parts_of
 
-ACTS = ("health", "quiesce", "resume")
+ACTS = ("health", "quiesce", "resume", "watch")
 TRIALS = ("try", "trial", "compare", "hunt", "saturate", "report")
 
 
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -192,7 +192,7 @@
             drains = req.bound is not None and req.bound.state != "up"
             if turn(req.hops - 1, req.bound is not None, drains) is not Turn.GIVE_UP:
                 return self.take(req)
-        fell = sent.verdict in FELL or sent.verdict == "cancelled"
+        fell = sent.verdict in FELL or req.late and sent.verdict in ("cancelled", "moot")
         if fell and not (req.over or req.missed or sent.host.is_origin):
             if self.last(req) and not self.desk.owners:
                 return self.take(req)
@@ -224,8 +224,12 @@
         self.cut()
 
     def share(self, host: Host) -> float:
-        """The even share of the space, by what the list says of the cache's size."""
-        return SPACE * host.rating / self.heft
+        """The even share of the space, by what the list says of the cache's size, where it says that."""
+        return SPACE * host.rating / self.heft if self.desk.terms.sized else SPACE / len(self.ring)
+
+    def fair_of(self, held: list[float]) -> float:
+        """Well over what the one in the middle holds, so that chance is no reason."""
+        return 3 * held[len(held) // 2] + 2 if held else inf
 
     def told(self, host: Host, held: float) -> None:
         """What a host holds comes from all balancers: a few answers of one's own say less of it."""
@@ -255,15 +259,15 @@
         """Redraw all ranges by the document's formula, where enough has been counted."""
         ring, now, n = self.ring, self.desk.now, len(self.ring)
         held = sorted(host.held / host.rating for host in ring if now - host.told_at < 2 * REDRAW_GAP)
-        self.fair = 3 * held[len(held) // 2] + 2 if held else inf
+        self.fair = self.fair_of(held)
         if not ring or now - self.drawn_at < REDRAW_GAP or self.fleet.sends < REDRAW_SENDS * n:
             return
         warm = [host for host in ring if now >= host.warm_at]
         told = sum(host.rate >= 0 for host in warm) * 2 > n
         counts = {host: host.rate if told else host.sends / (now - host.counted)  # a joiner had less time
                   for host in warm if not told or host.rate >= 0}
-        mean = sum(counts.values()) / sum(host.rating for host in counts) if counts else 0.0
-        loads = [counts.get(host, mean * host.rating) for host in ring]
+        mean = sum(counts.values()) / sum(self.share(host) for host in counts) if counts else 0.0
+        loads = [counts.get(host, mean * self.share(host)) for host in ring]
         if total := sum(loads):  # half way only: sizes that start anew from the even share spring back
             drawn = [2 * self.share(host) - SPACE * load / total for host, load in zip(ring, loads)]
             self.resize([(host.size + size) / 2 for host, size in zip(ring, drawn)])
@@ -347,16 +351,17 @@
         elif not sent.verdict and not host.is_origin:
             self.heard(host, desk.now - sent.at)
             if not desk.terms.may_double:
-                self.call_off(sent)
+                self.cut(host, 0.2)  # few of its answers come here, and none while it is silent
+            if self.calls_off(sent):
+                desk.placement.fleet.credit, req.late = desk.placement.fleet.credit - 1.0, True
+                desk.port.cancel(req.id, req.sent.index(sent))
 
-    def call_off(self, sent: Sent) -> None:
+    def calls_off(self, sent: Sent) -> bool:
         """Where no second dispatch may be out, a late read is given up for an origin with time."""
-        desk, req, fleet = self.desk, sent.req, self.desk.placement.fleet
-        self.cut(sent.host, 0.2)  # few of its answers come here, and none while it is silent
+        desk, req = self.desk, sent.req
+        may = desk.terms.may_cancel and not desk.terms.may_double and desk.placement.fleet.credit >= 1.0
         more = req.rule_set.replayable and not req.over and len(req.sent) - req.hops < req.most
-        if more and desk.terms.may_cancel and desk.origin.spare() and fleet.credit >= 1.0:
-            fleet.credit, req.late = fleet.credit - 1.0, True
-            desk.port.cancel(req.id, req.sent.index(sent))
+        return may and more and desk.origin.spare()
 
     def lost(self, sent: Sent) -> bool:
         """Whether its host is quick and has answered others since: then silence says nothing of the host."""
@@ -413,6 +418,7 @@
     """The door: ids come in here; the stages share its clock, chance and agenda."""
 
     sender: Dispatch
+    sends: type[Dispatch] = Dispatch
 
     def __init__(self, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
         super().__init__(port, now)
@@ -421,7 +427,7 @@
         self.failures = 0  # of calls for the list, in a row
         self.owners: Map | None = None  # of slots, where servers own them
         self.admission, self.merging = Admission(self), Merging(self)
-        self.placement, self.origin, self.sender = Placement(self), Origin(self), Dispatch(self)
+        self.placement, self.origin, self.sender = Placement(self), Origin(self), self.sends(self)
         link(self.admission, self.merging, self.placement, self.origin, self.sender)
         self.later(TICK, self.tick)
         if terms.subscribes:
@@ -479,7 +485,7 @@
         """What a host told of itself, as far as it did: reqs a second, and how many it holds."""
         if host := self.hosts.get(id):
             host.rate = host.rate if rate is None else rate
-            if held is not None and not host.is_origin:
+            if held is not None and "concurrent" in self.terms.reports and not host.is_origin:
                 self.placement.told(host, held)
 
     def on_moved(self, id: int, number: int, to: str) -> None:
--- a/orchidgap/decisions/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -9,6 +9,8 @@
 
 EFFECTS = ("retryable", "dedup", "fragile")
 GROUPS = ("all", "zone", "cell")
+WEIGHTS = ("off", "nominal", "rough", "live")
+REPORTS = ("off", "on_probe", "inline")
 AT_START = ("origin_kind", "subscribes")  # what the records of hosts stand on
 
 
@@ -57,6 +59,8 @@
     max_pause: int  # 0 where clients are told no comeback time
     cold_from: float
     warm_after: int
+    sized: bool  # what the list says of a host's size can be gone by
+    reports: tuple[str, ...]  # what hosts tell of their load with each answer
 
     def standing(self, now: ServiceTerms) -> ServiceTerms:
         """These terms, as far as they can follow those that count now without a restart."""
@@ -89,8 +93,8 @@
                 raise BadTerm(f"setting {path} is {value!r}, and must be one of {', '.join(among)}")
             return value
 
-        def yes(path: str, default: str = "false") -> bool:
-            return pairs.get(path, default) in ("true", "1")
+        def yes(path: str) -> bool:
+            return word(path, "false", ("true", "1", "false", "0")) in ("true", "1")
 
         rule_sets: dict[str, RuleSet] = {}
         need("rule-sets.count")
@@ -120,4 +124,7 @@
             int(number("ceilings.most-dispatches", 3, over=True)),
             yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
-            number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)))
+            number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)),
+            word("weights", "off", WEIGHTS) in ("nominal", "rough"),  # "live" ones swing
+            tuple(filter(None, pairs.get("report.fields", "").split(",")))
+            if word("report.how", "off", REPORTS) == "inline" else ())
--- a/orchidgap/decisions/versions.py
+++ b/orchidgap/decisions/versions.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-ALONE = frozenset(("known", "seed"))  # they say how things stood at one moment, and may be left out
+ALONE = frozenset(("known", "seed", "watch"))  # they say how things stand for a time, and may be left out
 
 
 def kind_of(value: Any) -> str:
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -122,6 +122,7 @@
         trip, reader, message = self.trip, self.reader, self.reader.message
         assert trip
         body = b"".join(message.parts) if message.whole else b""
+        trip.load = message.fields.get(b"server-load", b"")
         if reader.bare:
             trip.length = message.length
         lasts = (message.whole and message.lasts
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -10,6 +10,7 @@
 from orchidgap.decisions.lifecycle import Life, State
 from orchidgap.decisions.records import UNRUN
 from orchidgap.decisions.rules import Balancer
+from orchidgap.decisions.watch import Watching
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
 from orchidgap.net.flow import Upload
@@ -19,12 +20,13 @@
 from orchidgap.net.places import Entry, Place
 from orchidgap.net.pools import Pools
 from orchidgap.net.start import Station
-from orchidgap.net.trip import Taker, Trip
+from orchidgap.net.trip import Taker, Trip, loads
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
 UPLOAD = 3_600_000_000  # the time of a req whose body is not whole: it goes by what comes, see the front
 TICK = 10_000
-AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin")  # of what a new file may bring
+# of what a new file may bring
+AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin", "watched")
 LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 128        # reckoned for each client: a req or an answer; few are as large, and few answers larger
@@ -141,10 +143,12 @@
         if self.giving is self.trips[number]:
             self.given(verdict == "done")
             return self.node.tidy(self)
+        trip = self.trips[number]
         if verdict in ("done", "unfit"):
-            trip = self.trips[number]
             self.answer(200 if verdict == "done" else 400, body, length=trip.length)
         self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
+        if trip.load:
+            self.node.reported(trip)
         if self.last_word and not self.over:
             self.answer(503 if verdict in UNRUN else self.last_word)
         self.node.tidy(self)
@@ -296,6 +300,11 @@
         if self.fleet and not self.handover.waiting:
             self.pass_on("able")
 
+    def reported(self, trip: Trip) -> None:
+        """A host told of its load with an answer."""
+        fields = loads(trip.load)
+        self.decide(self.balancer.on_report, trip.host, fields.get("tps"), fields.get("concurrent"))
+
     def decide(self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None) -> None:
         """One call of the decisions. Where it fails, the req it was about is still answered."""
         self.balancer.now = self.loop.now
@@ -359,6 +368,12 @@
         self.pass_on("quiesce")
         return True, self.life.state.value
 
+    def watch(self) -> tuple[bool, str]:
+        """What the terms that are watched would have decided otherwise, by kind."""
+        if not isinstance(self.balancer, Watching):
+            return False, "nothing is watched"
+        return True, self.balancer.told()
+
     def resume(self) -> tuple[bool, str]:
         """End a drain."""
         may = self.life.means.resumes
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -8,10 +8,12 @@
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from orchidgap.admin.door import Operators
 from orchidgap.decisions.rules import Balancer
+from orchidgap.decisions.watch import Watching
 from orchidgap.net import start
 from orchidgap.net.connection import Address
 from orchidgap.net.handover import Handover, inherited
@@ -29,10 +31,13 @@
     station = start.read(path)
     log = Log(station.name)
     loop = Loop(trouble=log.trouble)
+    if station.watched:
+        decider = partial(Watching, station.watched)
     node = Node(loop, station, log, parts(station), decider=decider)
     bell = on_signal(loop, node, path)
     if station.admin:
-        operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume})
+        operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume,
+                                     "watch": node.watch})
         listen(operators.listen, station.admin)
     passed = os.environ.get("GW_PASSED_SOCKET")
     if passed:
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -34,6 +34,7 @@
     idle_for: int
     resp: Mapping[str, Any] | None = None  # where RESP is spoken in place of HTTP: its part of the file
     admin: Address | None = None  # where operators call, if they may
+    watched: ServiceTerms | None = None  # terms that are to be watched, not gone by
     shape: Mapping[str, str] = {}  # which keys the file had, with the kinds of their values
 
 
@@ -96,6 +97,16 @@
     if before and (lack := versions.lacks(before.shape, shape, versions.empty_lists(told))):
         raise BadTerm(lack)
     pairs = dict(flat(told["settings"]))
+    watched = None
+    if (watch := told.get("watch")) is not None:
+        if not isinstance(watch, Mapping) or not isinstance(watch.get("settings"), Mapping):
+            raise BadTerm("watch.settings must be an object")
+        try:
+            watched = ServiceTerms.read(pairs | dict(flat(watch["settings"])))
+        except BadTerm as trouble:
+            raise BadTerm(f"watch: {trouble}") from None
+        if missing := set(ServiceTerms.read(pairs).rule_sets) - set(watched.rule_sets):
+            raise BadTerm(f"watch: rule set {sorted(missing)[0]} is missing")
     limits = told.get("limits") or {}
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(limits.get("sockets") or most), most)
@@ -109,4 +120,4 @@
         ServiceTerms.read(pairs), over_none(pairs, "ceilings.connect-timeout", 250_000),
         over_none(pairs, "ceilings.conn-idle", 15_000_000), told.get("resp"),
         address_of(admin) if (admin := told.get("admin_addr") or os.environ.get("GW_ADMIN_ADDR")) else None,
-        shape)
+        watched, shape)
--- a/orchidgap/net/trip.py
+++ b/orchidgap/net/trip.py
@@ -7,6 +7,26 @@
 from orchidgap.net.connection import Connection, Fault, Reach
 from orchidgap.net.flow import Upload
 
+MOST_LOAD = 256  # bytes of a load report that are looked at
+
+
+def loads(text: bytes) -> dict[str, float]:
+    """A load report; what is no number that could be meant is left out.
+
+    >>> loads(b"concurrent=3, mean_ms=12.5"), loads(b"concurrent=nan,tps=-1,x,=,mean_ms=1e99,concurrent=2")
+    ({'concurrent': 3.0, 'mean_ms': 12.5}, {'concurrent': 2.0})
+    """
+    found = {}
+    for pair in text[:MOST_LOAD].decode(errors="replace").split(","):
+        name, _, value = pair.partition("=")
+        try:
+            number = float(value)
+        except ValueError:
+            continue
+        if 0 <= number < 1e9:
+            found[name.strip()] = number
+    return found
+
 
 class Carrier(Protocol):
     """A connection to a host that carries dispatches."""
@@ -41,8 +61,8 @@
 class Trip:
     """One dispatch on the network. Exactly one thing comes of it."""
 
-    __slots__ = ("ask", "asking", "body", "due", "flow", "head", "hold", "host", "length", "link", "number",
-                 "sender", "settled", "to")
+    __slots__ = ("ask", "asking", "body", "due", "flow", "head", "hold", "host", "length", "link", "load",
+                 "number", "sender", "settled", "to")
 
     def __init__(self, head: bytes, body: bytes, due: int, sender: Sender, number: int = 0,
                  host: str = "") -> None:
@@ -50,6 +70,7 @@
         self.host = host                 # the id of where it goes
         self.flow: Upload | None = None  # its body, where that is not kept whole
         self.hold = 0                    # how long an answer of unknown length may be held
+        self.load = b""                  # what its host told of itself with the answer
         self.length: int | None = None   # of the body that an answer without one tells of
         self.link: Carrier | None = None
         self.settled = False
