--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -400,9 +400,9 @@
         lag = (self.desk.now - host.judged_at < REDRAW_GAP and host.lag) or took  # an old lag says nothing
         host.lag, host.judged_at = lag + (took - lag) // 8, self.desk.now
         if (slow := self.slowness(host)) > 1.0:
-            self.cut(host, max(0.5, min(0.9, 1 / slow)))
+            self.cut(host, max(0.2 if host.is_origin else 0.5, min(0.9, 1 / slow)))
         elif host.limit < 1.0:
-            host.limit, host.asked = self.desk.chance(host), 0
+            host.limit, host.asked = self.desk.chance(host) * (1 + host.is_origin), 0
         elif host.out + host.away >= host.limit // 2:
             host.limit += 1 / host.limit if host.cut_at else 1.0  # the start is low, so left fast
 
@@ -534,9 +534,10 @@
         return not host.load and self.rng.random() < self.chance(host)
 
     def chance(self, host: Host) -> float:
-        """It recovers with time, a cache's with use too: where little goes, no answers come to raise it."""
+        """It recovers with time, a cache's with use too: where little goes, no answers come to raise it.
+        An origin's recovers by good answers: what time alone lets through would keep it from emptying."""
         aims = (self.now - host.cut_at) / self.target
-        return min(1.0, host.limit + (aims if host.is_origin else min(aims, host.asked)) / RECOVERY)
+        return min(1.0, host.limit + (aims / 3 if host.is_origin else min(aims, host.asked)) / RECOVERY)
 
     def give_up(self, req: Req) -> None:
         if not req.over and not req.out:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -376,7 +376,7 @@
     assert origin.limit < 0.3
     went = sum(bool(desk.sent(desk.put(key, "once"))) and not desk.on_hangup(desk.number) for key in range(20))
     assert went < 12 and desk.did("deny")
-    desk.wait(24 * desk.target)
+    desk.wait(3 * 24 * desk.target)
     assert desk.chance(origin) == 1.0
 
 
@@ -575,3 +575,15 @@
     for _ in range(12):
         desk.fits(host)
     assert desk.chance(host) == pytest.approx(0.5)
+
+
+def test_an_origins_limit_below_one_comes_back_by_good_answers():
+    desk = Desk(4, instances="200")
+    origin = desk.hosts["o"]
+    desk.wait(1_000_000)
+    origin.limit, origin.cut_at = 0.1, desk.now
+    desk.wait(24 * desk.target)
+    assert desk.chance(origin) == pytest.approx(0.1 + 1 / 3), "little by time"
+    origin.cut_at = desk.now
+    desk.sender.judge(origin, 50_000)
+    assert origin.limit == pytest.approx(0.2)
