A watch asks the module's own predicates, says its counts once a minute and at the end

Watching had a second copy of may_repeat and of the choice between deny and abort; both are now asked of the Balancer (allows, comeback) with the other terms.

--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -77,6 +77,6 @@
     hops: int = 0          # redirections followed
     bound: Host | None = None  # where the last of them sent it
 
-    def suspects(self) -> list[Sent]:
-        """Dispatches that may have run or may yet run."""
-        return [sent for sent in self.sent if sent.verdict not in UNRUN]
+def suspects(sent: list[Sent]) -> list[Sent]:
+    """Dispatches that may have run or may yet run."""
+    return [one for one in sent if one.verdict not in UNRUN]
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -18,9 +18,9 @@
 
 from orchidgap.decisions.chain import Door, Stage, link
 from orchidgap.decisions.ports import Port
-from orchidgap.decisions.records import Host, Req, Sent
+from orchidgap.decisions.records import Host, Req, Sent, suspects
 from orchidgap.decisions.slots import Map, Turn, turn
-from orchidgap.decisions.terms import ServiceTerms
+from orchidgap.decisions.terms import RuleSet, ServiceTerms
 
 SPACE = 1 << 14  # b = 14: the slots of the RESP cluster
 REDRAW_GAP, REDRAW_SENDS = 5_000_000, 100
@@ -485,9 +485,14 @@
         """What a host told of itself, as far as it did: reqs a second, and how many it holds."""
         if host := self.hosts.get(id):
             host.rate = host.rate if rate is None else rate
-            if held is not None and "concurrent" in self.terms.reports and not host.is_origin:
+            if held is not None and self.by_load and not host.is_origin:
                 self.placement.told(host, held)
 
+    @property
+    def by_load(self) -> bool:
+        """Whether what hosts say they hold counts."""
+        return "concurrent" in self.terms.reports
+
     def on_moved(self, id: int, number: int, to: str) -> None:
         """A dispatch was sent on to another host, and has not run."""
         if req := self.reqs.get(id):
@@ -544,24 +549,33 @@
             self.finish(req)
 
     def may_repeat(self, req: Req, host: Host) -> bool:
-        """Whether the rule set allows one more dispatch to this host."""
-        rule_set, doubtful = req.rule_set, [] if req.rule_set.replayable else req.suspects()
+        """Whether one more dispatch may go to this host."""
         if req.over or req.out and not self.terms.may_double:
             return False
-        if len(req.sent) - req.hops >= req.most:
+        return self.allows(req, host, req.rule_set, req.sent, req.most)
+
+    def allows(self, req: Req, host: Host, rule_set: RuleSet, earlier: list[Sent], most: int) -> bool:
+        """Whether the rule set allows one to this host after these."""
+        if len(earlier) - req.hops >= most:
             return False
+        doubtful = [] if rule_set.replayable else suspects(earlier)
         if doubtful and not (rule_set.uniqued and self.now - doubtful[0].at < rule_set.repeat_window):
             return False  # it may have run, and nobody would drop the repeat
         return rule_set.group == "all" or all(
             getattr(sent.host, rule_set.group) == getattr(host, rule_set.group) for sent in doubtful)
 
+    def comeback(self, req: Req, rule_set: RuleSet) -> int:
+        """How long a client that is denied stays away; under 0 where a retry may do harm."""
+        pause, doubtful = self.terms.max_pause // 2, [] if rule_set.replayable else suspects(req.sent)
+        if doubtful and not (rule_set.uniqued and rule_set.group == "all"):
+            return -1
+        if doubtful:  # a retry that comes when its mark is forgotten would run again
+            pause = min(pause, max(0, rule_set.repeat_window - (self.now - doubtful[0].at)) // 2)
+        return pause
+
     def finish(self, req: Req) -> None:
         """The final answer to a req that is given up: denied where a retry is harmless, aborted otherwise."""
-        rule_set, pause = req.rule_set, self.terms.max_pause // 2
-        doubtful = [] if rule_set.replayable else req.suspects()
-        if not doubtful or (rule_set.uniqued and rule_set.group == "all"):
-            if doubtful:  # a retry that comes when its mark is forgotten would run again
-                pause = min(pause, max(0, rule_set.repeat_window - (self.now - doubtful[0].at)) // 2)
+        if (pause := self.comeback(req, req.rule_set)) >= 0:
             self.port.deny(req.id, pause)
         else:
             self.port.abort(req.id)
--- a/orchidgap/decisions/watch.py
+++ b/orchidgap/decisions/watch.py
@@ -13,9 +13,10 @@
 
 from orchidgap.decisions.ports import Port
 from orchidgap.decisions.records import Host, Req, Sent
-from orchidgap.decisions.rules import SPACE, Balancer, Dispatch
+from orchidgap.decisions.rules import Balancer, Dispatch
 from orchidgap.decisions.terms import RuleSet, ServiceTerms
 
+PACE = 60_000_000  # between two lines that tell the counts
 KINDS = ("owner", "copy", "repeat", "call-off", "answer", "pause", "limit")
 
 
@@ -56,11 +57,19 @@
 
     def __init__(self, other: ServiceTerms, terms: ServiceTerms, port: Port, seed: int, now: int) -> None:
         self.other, self.looked = other, 0
+        self.said_at, self.said = now, ""
         self.counts = dict.fromkeys(KINDS, 0)
         self.cuts: list[list[int]] = [[], []]  # where even ranges end, by these terms and by the others
         self.helds: dict[str, float] = {}
         super().__init__(terms, WatchedPort(self, port), seed, now)
 
+    def tick(self, _: None) -> None:
+        super().tick(None)
+        words = self.told()
+        if self.now - self.said_at >= PACE and words != self.said:
+            self.said_at, self.said = self.now, words
+            self.port.log(f"watched so far: {words}")
+
     def add(self, kind: str, differs: bool) -> None:
         self.counts[kind] += differs
 
@@ -86,47 +95,38 @@
             self.add("owner", mine != others)
         copy = any(not one.verdict for one in earlier)
         self.add("copy", copy and not self.other.may_double)
-        self.add("repeat", not copy and bool(earlier) and not self.allows(req, earlier, sent.host))
+        repeats = not copy and bool(earlier)
+        self.add("repeat", repeats and not self.allows(
+            req, sent.host, self.theirs(req), earlier, self.other.max_dispatches))
 
     def theirs(self, req: Req) -> RuleSet:
         """The other terms' rule set of that name; its own where it came under earlier terms."""
         names = [name for name, rule_set in self.terms.rule_sets.items() if rule_set is req.rule_set]
         return self.other.rule_sets.get(names[0], req.rule_set) if names else req.rule_set
 
-    def allows(self, req: Req, earlier: list[Sent], host: Host) -> bool:
-        """Whether the other terms would have let it go out again."""
-        rule_set = self.theirs(req)
-        doubtful = [] if rule_set.replayable else [one for one in req.suspects() if one in earlier]
-        if len(earlier) - req.hops >= self.other.max_dispatches:
-            return False
-        if doubtful and not (rule_set.uniqued and self.now - doubtful[0].at < rule_set.repeat_window):
-            return False
-        return rule_set.group == "all" or all(
-            getattr(one.host, rule_set.group) == getattr(host, rule_set.group) for one in doubtful)
-
     def ends(self, id: int, pause: int) -> None:
         """A final answer that is about to go out; a pause under 0 is that of one aborted."""
         req = self.reqs[id]
-        rule_set = self.theirs(req)
-        doubtful = [] if rule_set.replayable else req.suspects()
-        denies = not doubtful or rule_set.uniqued and rule_set.group == "all"
-        self.add("answer", denies != (pause >= 0))
-        if denies and pause >= 0 and not doubtful:
-            self.add("pause", self.other.max_pause // 2 != pause)
+        with self.otherwise():
+            theirs = self.comeback(req, self.theirs(req))
+        self.add("answer", (theirs >= 0) != (pause >= 0))
+        self.add("pause", min(theirs, pause) >= 0 and theirs != pause)
 
     def on_hosts(self, scope: str, entries: Iterable[tuple[str, str, int, str, str, str, float]]) -> None:
         super().on_hosts(scope, entries)
-        ring = self.placement.ring
         self.helds = {id: held for id, held in self.helds.items() if id in self.hosts}
-        self.cuts = []
-        for terms in (self.terms, self.other):
-            sizes = [host.rating if terms.sized else 1.0 for host in ring]
-            self.cuts.append([round(end * SPACE / sum(sizes)) for end in accumulate(sizes)])
+        mine = self.ends_of_shares()
+        with self.otherwise():
+            self.cuts = [mine, self.ends_of_shares()]
+
+    def ends_of_shares(self) -> list[int]:
+        return [round(end) for end in accumulate(self.placement.share(host) for host in self.placement.ring)]
 
     def on_report(self, id: str, rate: float | None, held: float | None = None) -> None:
         if held is not None and (host := self.hosts.get(id)) and not host.is_origin:
             self.helds[id] = held / host.rating
             much = held > host.rating * self.placement.fair_of(sorted(self.helds.values()))
-            reads = ["concurrent" in terms.reports for terms in (self.terms, self.other)]
-            self.add("limit", much and reads[0] != reads[1])
+            mine = self.by_load
+            with self.otherwise():
+                self.add("limit", much and self.by_load != mine)
         super().on_report(id, rate, held)
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -430,5 +430,7 @@
     def end(self) -> None:
         self.note("stopped", reqs=sum(not exchange.over for exchange in self.reqs.values()),
                   longest_turn_ms=self.loop.longest // 1000)
+        if isinstance(self.balancer, Watching):
+            self.note("watched", what=self.balancer.told())
         self.handover.close()
         self.loop.running = False
--- a/tests/decisions/test_watch.py
+++ b/tests/decisions/test_watch.py
@@ -121,3 +121,13 @@
     desk.on_terms(ServiceTerms.read(PAIRS | NOW | {"rule-sets.0.response-target": "700000"}))
     desk.outcome(req, "error")
     assert not found(desk) and isinstance(desk, Balancer)
+
+
+def test_it_says_once_a_minute_what_it_counted_and_only_news():
+    desk = Watch(**NEW)
+    late(desk)
+    desk.wait(61_000_000)
+    said = [line for line, in desk.did("log") if line.startswith("watched so far: 1 dispatches")]
+    assert len(said) == 1 and "call-off 1" in said[0]
+    desk.wait(200_000_000)
+    assert len([line for line, in desk.did("log") if line.startswith("watched")]) == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,9 +3,9 @@
 import sys
 
 import pytest
-from desk import PAIRS
+from desk import PAIRS, Desk
 
-from orchidgap.wirehost.codec import Malformed, serve
+from orchidgap.wirehost.codec import Malformed, serve, told
 
 INFO = " ".join(f"{path}={value}" for path, value in PAIRS.items())
 START = (f"BATCH 1000 1\nABOUT 3\nPROVISION 5 {INFO} some.new=1\nBACKENDS_CHANGED restored 1 2\n"
@@ -47,3 +47,12 @@
     done = subprocess.run([sys.executable, "-m", "orchidgap.wirehost"], input=raw, capture_output=True, check=False)
     assert done.returncode == 1 and not done.stdout
     assert names in done.stderr.decode() and done.stderr.count(b"\n") == 1
+
+
+@pytest.mark.parametrize(("how", "report", "rate", "held"), [
+    ("inline", "concurrent:7.5,tps:2", 2.0, 7.5), ("inline", "concurrent:7.5,mean_ms:80", -1.0, 7.5),
+    ("inline", "-", -1.0, 0.0), ("off", "concurrent:7.5,tps:2", 2.0, 0.0)])
+def test_reports_reach_the_decisions_as_the_settings_say(how, report, rate, held):
+    desk = Desk(2, **{"report.how": how, "report.fields": "concurrent,tps"})
+    told(desk, "c1", report)
+    assert (desk.hosts["c1"].rate, desk.hosts["c1"].held) == (rate, held) and not desk.hosts["c0"].held
