--- a/orchidgap/decisions/watch.py
+++ b/orchidgap/decisions/watch.py
@@ -12,7 +12,7 @@
 from itertools import accumulate
 
 from orchidgap.decisions.ports import Port
-from orchidgap.decisions.records import Host, Req, Sent
+from orchidgap.decisions.records import Req, Sent
 from orchidgap.decisions.rules import Balancer, Dispatch
 from orchidgap.decisions.terms import RuleSet, ServiceTerms
 
