--- a/orchidgap/trial/baselines.py
+++ b/orchidgap/trial/baselines.py
@@ -106,6 +106,10 @@
         req.out, host.out = req.out + 1, host.out + (not req.flows)
         self.port.dispatch(req.id, host.id)
 
+    # the rules are asked of the decisions themselves
+    allows: Any = Balancer.allows
+    comeback: Any = Balancer.comeback
+
     def finish(self, req: Req) -> None:
         if not req.over and not req.out:
             Balancer.finish(cast(Any, self), req)
