Terms are read once at start, watch counts put into words when due, one set-up of handovers

No behaviour moves: net/start.py read the same settings twice where a watch is configured, and nested its checks in station (now watched_of); decisions/watch.py put its counts into words twice a second for a line a minute; tests/test_handover.py set up an inheriting process in six places (now inheriting, one_side).

--- a/orchidgap/decisions/watch.py
+++ b/orchidgap/decisions/watch.py
@@ -65,8 +65,7 @@
 
     def tick(self, _: None) -> None:
         super().tick(None)
-        words = self.told()
-        if self.now - self.said_at >= PACE and words != self.said:
+        if self.now - self.said_at >= PACE and (words := self.told()) != self.said:
             self.said_at, self.said = self.now, words
             self.port.log(f"watched so far: {words}")
 
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -90,6 +90,21 @@
     return value
 
 
+def watched_of(watch: Any, pairs: Mapping[str, str], terms: ServiceTerms) -> ServiceTerms | None:
+    """The settings as they are, with those that are to be watched laid over them."""
+    if watch is None:
+        return None
+    if not isinstance(watch, Mapping) or not isinstance(watch.get("settings"), Mapping):
+        raise BadTerm("watch.settings must be an object")
+    try:
+        watched = ServiceTerms.read({**pairs, **dict(flat(watch["settings"]))})
+    except BadTerm as trouble:
+        raise BadTerm(f"watch: {trouble}") from None
+    if missing := set(terms.rule_sets) - set(watched.rule_sets):
+        raise BadTerm(f"watch: rule set {sorted(missing)[0]} is missing")
+    return watched
+
+
 def station(told: Any, before: Station | None = None) -> Station:
     if not isinstance(told, Mapping):
         raise ValueError("an object was expected")
@@ -97,16 +112,7 @@
     if before and (lack := versions.lacks(before.shape, shape, versions.empty_lists(told))):
         raise BadTerm(lack)
     pairs = dict(flat(told["settings"]))
-    watched = None
-    if (watch := told.get("watch")) is not None:
-        if not isinstance(watch, Mapping) or not isinstance(watch.get("settings"), Mapping):
-            raise BadTerm("watch.settings must be an object")
-        try:
-            watched = ServiceTerms.read(pairs | dict(flat(watch["settings"])))
-        except BadTerm as trouble:
-            raise BadTerm(f"watch: {trouble}") from None
-        if missing := set(ServiceTerms.read(pairs).rule_sets) - set(watched.rule_sets):
-            raise BadTerm(f"watch: rule set {sorted(missing)[0]} is missing")
+    terms = ServiceTerms.read(pairs)
     limits = told.get("limits") or {}
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(limits.get("sockets") or most), most)
@@ -117,7 +123,7 @@
         str(told.get("name", "")), address_of(told["listen"]),
         address_of(told["discovery"]) if told.get("discovery") or not told.get("resp") else ("", 0),
         int(str(told.get("seed") or 0), 16), sockets, int(limits.get("memory_mb") or 1024), known,
-        ServiceTerms.read(pairs), over_none(pairs, "ceilings.connect-timeout", 250_000),
+        terms, over_none(pairs, "ceilings.connect-timeout", 250_000),
         over_none(pairs, "ceilings.conn-idle", 15_000_000), told.get("resp"),
         address_of(admin) if (admin := told.get("admin_addr") or os.environ.get("GW_ADMIN_ADDR")) else None,
-        watched, shape)
+        watched_of(told.get("watch"), pairs, terms), shape)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -99,16 +99,26 @@
 
 # --- two processes that have found each other
 
+def inheriting(caches, start=True, **more):
+    """A process with the inherited listener, which may be either of the two."""
+    net = Net(caches, start=start, **more)
+    net.node.clients.inherit(listener())
+    net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    return net
+
+
+def one_side(caches, start=True):
+    """One of two processes; the test speaks for the other."""
+    return inheriting(caches, start), *socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+
+
 class Two:
     """An old and a new balancer on one clock, with a passage between them."""
 
     def __init__(self, caches=3, serves=True, **more):
-        self.old, self.new = Net(caches, **more), Net(caches, start=False, **more)
+        self.old, self.new = inheriting(caches, **more), inheriting(caches, start=False, **more)
         self.new.dial = self.old.dial  # hosts are common
         self.new.node.hosts.dialer = self.new.node.registry.dialer = self.old.dial
-        for net in (self.old, self.new):
-            net.node.clients.inherit(listener())
-            net.node.handover = Handover(net.loop, net.node, None, shared=True)
         self.known = {host.id: host for host in self.old.node.balancer.hosts.values()}
         near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         self.prepare()
@@ -169,10 +179,7 @@
 
 
 def test_without_an_answer_from_the_old_one_it_serves_all_the_same():
-    net = Net(2, start=False)
-    net.node.clients.inherit(listener())
-    net.node.handover = Handover(net.loop, net.node, None, shared=True)
-    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net, near, far = one_side(2, start=False)
     net.node.handover.call(far)
     net.node.start()
     net.wait(1_490_000)
@@ -300,10 +307,7 @@
     b"", b"{", b"null", b"[]", b"7", b'["what"]', b'["hello"]', b'["hello",1,"another"]', b'["hello",99,"n0"]', b'["now"]',
     b'["now",1,2,3]', b'["now",[],[],{"c0":"x"}]', b"\xff" * 100, b'["serving"', b'["clients"]' * 9])
 def test_whatever_is_said_to_the_old_one_costs_the_passage_and_nothing_else(packet):
-    net = Net(1)
-    net.node.clients.inherit(listener())
-    net.node.handover = Handover(net.loop, net.node, None, shared=True)
-    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net, near, far = one_side(1)
     net.node.handover.called(near)
     far.send(packet) if packet else far.close()
     net.turn()
@@ -318,10 +322,7 @@
     b"[]", b'["what"]', b'["room","x"]', b'["list",[["c0"]]]', b'["list",[[[1,2,3,4,5,6,7],["c0","up",["h",1]]]]]',
     b'["list",7]', b'["estate",7]', b'["links",7]', b'["now",{},{},7]', b""])
 def test_whatever_is_said_to_the_new_one_it_serves(packet):
-    net = Net(1, start=False)
-    net.node.clients.inherit(listener())
-    net.node.handover = Handover(net.loop, net.node, None, shared=True)
-    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net, near, far = one_side(1, start=False)
     net.node.handover.call(far)
     net.node.start()
     near.send(packet) if packet else near.close()
@@ -335,10 +336,7 @@
 
 
 def test_descriptors_that_come_with_an_odd_packet_are_closed():
-    net = Net(1)
-    net.node.clients.inherit(listener())
-    net.node.handover = Handover(net.loop, net.node, None, shared=True)
-    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net, near, far = one_side(1)
     net.node.handover.called(near)
     left, right = socket.socketpair()
     socket.send_fds(far, [b'["clients"]'], [left.fileno()])
@@ -590,10 +588,7 @@
     b'["answer",{"name":"x","head":"noise","host":"c0","at":["h",1],"version":"1.1","lasts":true,"chunked":7,"last":0}]'])
 @pytest.mark.parametrize("fds", [0, 1, 2])
 def test_a_req_under_way_that_makes_no_sense_costs_nothing(packet, fds):
-    net = Net(1, start=False)
-    net.node.clients.inherit(listener())
-    net.node.handover = Handover(net.loop, net.node, None, shared=True)
-    near, far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    net, near, far = one_side(1, start=False)
     net.node.handover.call(far)
     net.node.start()
     pairs = [socket.socketpair() for _ in range(fds)]
