--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
 # build: what `serve` needs; tools: what trials need too; try: ten seconds of a small fleet of stand-ins;
 # test, lint: with the developers' tools; trials: the short plans, each ending in its verdict;
+# drill: real processes with faults between them, each plan ending in its verdict;
 # run: serve by the file that GW_CONFIG names
 
 PYTHON = .venv/bin/python
 
-.PHONY: build tools try test lint trials run clean
+.PHONY: build tools try test lint trials drill run clean
 
 build: .venv/built
 
@@ -29,7 +30,7 @@
 	$(PYTHON) -m orchidgap try
 
 test: .venv/dev
-	$(PYTHON) -m pytest -q
+	$(PYTHON) -m pytest -q -n auto
 
 lint: .venv/dev
 	$(PYTHON) -m ruff check .
@@ -38,6 +39,9 @@
 trials: .venv/tools
 	set -e; for plan in trials/*.toml; do $(PYTHON) -m orchidgap trial $$plan; done
 
+drill: .venv/tools
+	set -e; for plan in drills/*.toml; do $(PYTHON) -m orchidgap drill $$plan; done
+
 run: build
 	exec $(PYTHON) -m orchidgap serve
 
--- a/orchidgap/__main__.py
+++ b/orchidgap/__main__.py
@@ -4,6 +4,11 @@
   orchidgap serve [--config=FILE]
   orchidgap check [--config=FILE]
   orchidgap admin (health | quiesce | resume | watch) [--addr=ADDR] [--config=FILE]
+  orchidgap control --config=FILE [--new]
+  orchidgap change (check | propose) FILE [--at=ADDRS] [--id=ID] [--again] [--wait=N] [--json]
+  orchidgap change strike NAME [--at=ADDRS] [--json]
+  orchidgap change (status | history) [--at=ADDRS] [--json]
+  orchidgap drill PLAN [--seed=N] [--out=DIR] [--defect=NAME]
   orchidgap version
   orchidgap try [--seed=N] [--real] [--policy=NAME] [--out=DIR]
   orchidgap trial PLAN [--seed=N] [--real] [--policy=NAME] [--out=DIR]
@@ -18,6 +23,13 @@
   check     Read the configuration as serve would, say what it holds, and end.
   admin     Ask a running balancer whether it serves, to drain, to serve again, or what the settings that it
             watches would have decided otherwise; exit code 1 on FAILURE.
+  control   Serve as a control process, which keeps the version of policy that counts; --new begins with none.
+  change    Have a new version of policy checked, proposed and decided; see who runs what and who is waited
+  for;
+            strike off by name a balancer that will not come back.
+            propose: exit code 0 decided, 2 nowhere, 3 not known yet (the same call again tells).
+  drill     Start real processes, put faults between them, and judge what clients saw; the last line is the
+  verdict.
   version   Print the version.
   try       Play ten seconds of a small fleet of stand-ins, in which one cache dies, and draw a report.
   trial     Play a plan and judge it; the last line is the verdict as JSON, exit code 1 where a rule broke.
@@ -29,6 +41,13 @@
 Options:
   --config=FILE  The configuration; without it, the file named by GW_CONFIG.
   --addr=ADDR    The operators' address; without it GW_ADMIN_ADDR, or what the configuration says.
+  --new          Begin with no version decided: once, when control is set up.
+  --at=ADDRS     Control's addresses, with commas between [default: 127.0.0.1:7500].
+  --id=ID        The change's name; without it, a digest of the file.
+  --again        Decide anew what was decided before and replaced since.
+  --wait=N       Seconds to wait for the end [default: 60].
+  --json         Print JSON.
+  --defect=NAME  Balancers with a planted defect, to see that it is caught.
   --seed=N       Another seed than the plan's.
   --real         Balancers as processes on loopback, in real time; else all in one process on a virtual clock.
   --policy=NAME  Who decides: orchidgap, random, ring, bounded-ring, least-out or oracle [default: orchidgap].
@@ -50,9 +69,10 @@
 from orchidgap import VERSION
 from orchidgap.net import start
 from orchidgap.net.serve import serve
-from orchidgap.parts import parts_of
+from orchidgap.parts import held_of, parts_of
 
 ACTS = ("health", "quiesce", "resume", "watch")
+CHANGES = ("check", "propose", "status", "history", "strike")
 TRIALS = ("try", "trial", "compare", "hunt", "saturate", "report")
 
 
@@ -66,12 +86,24 @@
         except ModuleNotFoundError as trouble:
             sys.exit(f"orchidgap: {trouble.name} is missing; `make tools` installs what this command needs")
         sys.exit(command.main(told))
+    if told["drill"]:
+        from orchidgap.drill import command as drills
+
+        sys.exit(drills.main(told))
+    if told["change"]:
+        from orchidgap.control import client
+
+        sys.exit(client.main(next(name for name in CHANGES if told[name]), told))
     if told["admin"]:
         sys.exit(admin(next(name for name in ACTS if told[name]), told["--addr"], told["--config"]))
     try:
         path = told["--config"] or os.environ.get("GW_CONFIG")
+        if told["control"]:
+            from orchidgap.control.server import run
+
+            return run(path, told["--new"])
         if told["serve"]:
-            return serve(path, parts_of)
+            return serve(path, parts_of, held=held_of)
         station = start.read(path)
         parts_of(station)
     except start.BadStart as trouble:
--- /dev/null
+++ b/orchidgap/control/server.py
@@ -0,0 +1,483 @@
+"""A control process: one acceptor of the register, the leases it grants, and whoever drives what is
+proposed."""
+
+from __future__ import annotations
+
+import ipaddress
+import signal
+import socket
+import time
+from collections import deque
+from collections.abc import Callable, Mapping
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import orjson
+
+from orchidgap.control.calls import Calls, Heard, Server
+from orchidgap.decisions import change
+from orchidgap.decisions.change import Leases, Row
+from orchidgap.decisions.register import NONE, Acceptor, Ballot, Kept, Round, Value, majority
+from orchidgap.decisions.terms import BadTerm, ServiceTerms
+from orchidgap.net.connection import Address
+from orchidgap.net.log import Log
+from orchidgap.net.loop import READ, Loop
+from orchidgap.net.places import address_of, text_of
+from orchidgap.net.start import BadStart, flat
+from orchidgap.state.files import Damaged, Files
+
+NEEDS = 1              # the newest form of a version that this program knows
+WITHIN = 500_000       # for another control process to answer
+TICK = 100_000
+TRIES = 6              # rounds for one change, before its caller is told that it is not known
+QUEUE = 256            # changes of the register that may wait here
+RANK = 1_000_000       # so much later each further control process drives what another one began
+# one call of a balancer, as reckoned for how often they may come while something is proposed
+CALL_US = 2_500
+SOONEST, LEASE_PART = 50_000, 4  # how often balancers call: at most, and in a lease while nothing is proposed
+
+
+def boot_clock() -> int:
+    """Microseconds that go on while the machine sleeps, and never jump."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
+
+
+def fit(doc: Any) -> str:
+    """Why this can be no version, in plain words; empty where it can. A balancer looks closer.
+
+    >>> fit({"settings": {"rule-sets": [{"name": "a", "effect": "retryable", "client-timeout": 9}]}}), fit({})
+    ('', 'settings must be an object')
+    >>> fit({"settings": {}, "needs": 7}), fit({"settings": {}})
+    ('it needs form 7, and this program knows 1', 'setting rule-sets.count is missing')
+    """
+    if not isinstance(doc, Mapping) or not isinstance(doc.get("settings"), Mapping):
+        return "settings must be an object"
+    if unknown := sorted(set(doc) - {"settings", "needs"}):
+        return f"{unknown[0]} is no part of a version"
+    if doc.get("needs", NEEDS) != NEEDS:
+        return f"it needs form {doc['needs']}, and this program knows {NEEDS}"
+    try:
+        ServiceTerms.read(dict(flat(doc["settings"])))
+    except BadTerm as trouble:
+        return str(trouble)
+    except (ValueError, TypeError, AttributeError) as trouble:
+        return f"settings: {trouble}"
+    return ""
+
+
+def kept_of(found: Any) -> Kept:
+    """As it was written."""
+    (count, who), (of, by), value = found
+    return Kept((int(count), str(who)), (int(of), str(by)), value)
+
+
+class Control:
+    def __init__(self, loop: Loop, name: str, peers: Mapping[str, Address], lease: int, give_up: int,
+                 files: Files, log: Log, rng: Random, clock: Callable[[], int] = boot_clock) -> None:
+        self.loop, self.name, self.files, self.log, self.rng, self.clock = loop, name, files, log, rng, clock
+        self.names = sorted(peers)
+        self.others = {other: Calls(loop, peers[other], WITHIN) for other in self.names if other != name}
+        self.lease, self.give_up = lease, give_up
+        self.leases = Leases(lease, clock())
+        self.acceptor: Acceptor | None = None  # none while it has lost its disk and is not back yet
+        self.highest = 0            # count of any ballot seen
+        self.queue: deque[tuple[Callable[[Value], Value], Heard]] = deque()
+        self.running = False        # a round of this process
+        self.disk_fails = False
+        self.seen = (0, 0)          # the try that is proposed, and since when it is known here
+        self.own = 0                # the try that was proposed here
+        self.driving = False
+        self.server = Server(loop, {
+            "/lease": self.on_lease, "/part": self.on_part, "/prepare": self.on_prepare,
+            "/accept": self.on_accept, "/waits": self.on_waits, "/join": self.on_join,
+            "/settle": self.on_settle,
+            "/propose": self.on_propose, "/change": self.on_change, "/strike": self.on_strike,
+            "/status": self.on_status, "/check": self.on_check})
+
+    @property
+    def value(self) -> Value:
+        """As taken here, which need not be chosen."""
+        return self.acceptor.kept.value if self.acceptor else change.EMPTY
+
+    # --- its disk
+
+    def begin(self, new: bool) -> None:
+        """Raises BadStart where it cannot be what it was."""
+        lost = ""
+        try:
+            kept = self.files.read("register")
+        except Damaged as trouble:
+            lost, kept = str(trouble), None
+            self.files.set_aside("register")
+        if kept is not None:
+            self.stand(kept_of(kept))
+        elif new and not lost:
+            try:
+                self.write(Kept(NONE, NONE, change.EMPTY))
+            except OSError as trouble:
+                raise BadStart(f"{self.files.folder}: {trouble.strerror}") from None
+            self.stand(Kept(NONE, NONE, change.EMPTY))
+        elif not self.others:
+            lost = lost or f"{self.files.folder} holds no register"
+            raise BadStart(f"{lost}; --new begins with none decided")
+        else:
+            self.log("register lost", why=lost or "nothing there")
+        self.tick()
+
+    def stand(self, kept: Kept) -> None:
+        self.acceptor = Acceptor(kept, self.write)
+        self.highest = max(self.highest, kept.promised[0])
+
+    def write(self, kept: Kept) -> None:
+        try:
+            self.files.write("register", tuple(kept))
+        except OSError as trouble:
+            if not self.disk_fails:
+                self.disk_fails = True
+                self.log("disk fails", why=trouble.strerror)
+            raise
+        if self.disk_fails:
+            self.disk_fails = False
+            self.log("disk back")
+
+    # --- what balancers say
+
+    def on_lease(self, told: dict[str, Any], done: Heard) -> None:
+        if self.acceptor is None:
+            return done(None)
+        row = Row(str(told["name"]), str(told["life"]), str(told["alone"]), int(told["runs"]),
+                  int(told["promised"]), int(told["refused"]), str(told["why"])[:500], 0, 0)
+        grants = self.leases.hear(row, self.clock())
+        value, new = self.value, self.value["next"]
+        said = {"ballot": self.acceptor.kept.ballot, "grants": grants, "lease": self.lease,
+                "again": self.again(), "size": len(self.names), "n": value["n"], "id": value["id"],
+                "try": value["try"], "stay": {row.name: value["stay"].get(row.name)}, "next": None}
+        if value["n"] > row.runs:
+            said["doc"] = value["doc"]
+        if new:
+            said["next"] = new if new["try"] not in (row.promised, row.refused) else {
+                "try": new["try"], "n": new["n"], "id": new["id"]}
+        done(said)
+
+    def again(self) -> int:
+        """When a balancer is to call next: often while something is proposed, as far as one process can
+        hear all."""
+        if self.value["next"]:
+            return min(max(SOONEST, len(self.leases.rows) * CALL_US), self.lease // LEASE_PART)
+        return self.lease // LEASE_PART
+
+    def on_part(self, told: dict[str, Any], done: Heard) -> None:
+        name, life = str(told["name"]), str(told["life"])
+        self.leases.part(name, life)
+        if self.value["stay"].get(name) == life:
+            self.cas(lambda value: change.struck(value, name, life) or value, lambda value: None)
+        done({})
+
+    def on_join(self, told: dict[str, Any], done: Heard) -> None:
+        name, life = str(told["name"]), str(told["life"])
+        self.cas(lambda value: change.joined(value, name, life) or value, lambda value: done(value and {}))
+
+    def on_settle(self, told: dict[str, Any], done: Heard) -> None:
+        """Somebody is told different things by different control processes."""
+        self.cas(lambda value: value, lambda value: done(value and {}))
+
+    # --- what control processes say to each other
+
+    def on_prepare(self, told: dict[str, Any], done: Heard) -> None:
+        done(self.prepare(tuple(told["ballot"])))
+
+    def prepare(self, ballot: Ballot) -> dict[str, Any] | None:
+        if self.acceptor is None:
+            return None
+        self.highest = max(self.highest, ballot[0])
+        try:
+            ok = self.acceptor.prepare(ballot)
+        except OSError:
+            return None
+        kept = self.acceptor.kept
+        return {"ok": ok, "promised": kept.promised, "ballot": kept.ballot,
+                "value": kept.value if ok else None}
+
+    def on_accept(self, told: dict[str, Any], done: Heard) -> None:
+        done(self.accept(tuple(told["ballot"]), told["value"]))
+
+    def accept(self, ballot: Ballot, value: Value) -> dict[str, Any] | None:
+        if self.acceptor is None:
+            return None
+        if ballot < self.acceptor.kept.promised:
+            return {"ok": False}
+        old = self.value
+        if late := self.leases.takes(old, value, self.clock()):
+            return {"ok": False, "late": late}
+        try:
+            ok = self.acceptor.accept(ballot, value)
+        except OSError:
+            return None
+        if value["n"] != old["n"]:
+            self.log("version taken", n=value["n"], id=value["id"], ballot=ballot[0])
+        return {"ok": ok}
+
+    def on_waits(self, told: dict[str, Any], done: Heard) -> None:
+        done(self.waits() if self.acceptor else None)
+
+    def waits(self) -> dict[str, Any]:
+        """Of what is proposed, as far as this process knows: who is waited for, who refused."""
+        now, new = self.clock(), self.value["next"]
+        return {"try": new["try"] if new else 0, "late": self.leases.waits(self.value, now),
+                "refused": self.leases.refusals(self.value, now)}
+
+    # --- a change of the register
+
+    def cas(self, make: Callable[[Value], Value], done: Heard) -> None:
+        """`done` gets the value that is chosen now, or None where that is not known."""
+        if len(self.queue) >= QUEUE:
+            return done(None)
+        self.queue.append((make, done))
+        if not self.running:
+            self.running = True
+            self.loop.soon(self.begin_round, TRIES)
+
+    def begin_round(self, tries: int) -> None:
+        if not self.queue:
+            self.running = False
+            return
+        self.highest += 1
+        ballot = (self.highest, self.name)
+        lost = self.acceptor is None
+        Attempt(self, Round(ballot, len(self.names), self.queue[0][0], self.name if lost else ""), tries)
+
+    def round_over(self, value: Value | None, tries: int) -> None:
+        if value is None and tries > 1:
+            # at a random time, as another proposer would
+            pause = self.rng.randrange(10_000, 40_000 << (TRIES - tries))
+            self.loop.later(pause, self.begin_round, tries - 1)
+            return
+        _, done = self.queue.popleft()
+        self.loop.soon(self.begin_round, TRIES)
+        done(value)
+
+    def call_all(self, path: str, told: dict[str, Any], own: Callable[[], Any],
+                 heard: Callable[[str, Any], None]) -> None:
+        """Every control process, itself among them."""
+        for other, calls in self.others.items():
+            calls(path, told, partial(heard, other))
+        self.loop.soon(lambda: heard(self.name, own()))
+
+    # --- driving what is proposed
+
+    def tick(self) -> None:
+        self.loop.later(TICK + self.rng.randrange(TICK // 4), self.tick)
+        now = self.clock()
+        self.leases.sweep(now)
+        if self.acceptor is None:
+            if not self.running:
+                self.come_back()
+            return
+        new = self.value["next"]
+        number = new["try"] if new else 0
+        if number != self.seen[0]:
+            self.seen = number, now
+        rank = 0 if number == self.own else self.names.index(self.name) * RANK
+        if number and not self.driving and not self.running and now - self.seen[1] >= rank:
+            self.drive(number)
+
+    def come_back(self) -> None:
+        """Its disk was lost, and with it what it had promised: a round of all others, under a ballot higher
+        than any
+        that it may have had a part in, and only what that finds is taken up."""
+        def back(value: Value | None) -> None:
+            if value is None or self.acceptor:
+                return
+            ballot = (self.highest, self.name)
+            try:
+                self.write(Kept(ballot, ballot, value))
+            except OSError:
+                return
+            self.stand(Kept(ballot, ballot, value))
+            self.log("register back", n=value["n"])
+
+        self.cas(lambda value: value, back)
+
+    def drive(self, number: int) -> None:
+        self.driving = True
+        asked: dict[str, Any] = {}
+        late: dict[str, int] = {}
+        refused: dict[str, str] = {}
+
+        def over() -> None:
+            self.driving = False
+            agreed = [one for one in asked.values() if one and one["try"] == number]
+            if len(agreed) < majority(len(self.names)):
+                return
+            if refused:
+                why = "; ".join(f"{name}: {why}" for name, why in refused.items())
+            elif late and self.clock() - self.seen[1] > self.give_up:
+                why = "no promise in time from " + ", ".join(late)
+            elif late:
+                return
+            else:
+                return self.cas(lambda value: change.decided(value, number) or value, self.driven)
+            self.cas(lambda value: change.dropped(value, number, why) or value, self.driven)
+
+        def heard(name: str, said: Any) -> None:
+            asked[name] = said
+            if said and said["try"] == number:
+                late.update(dict(said["late"]))
+                refused.update(dict(said["refused"]))
+            if len(asked) == len(self.names):
+                over()
+
+        self.call_all("/waits", {}, self.waits, heard)
+
+    def driven(self, value: Value | None) -> None:
+        if value and value["past"] and not value["next"]:
+            n, id, word, why = value["past"][-1]
+            self.log("change " + word, id=id, n=n, **({"why": why} if why else {}))
+
+    # --- operators' acts
+
+    def on_check(self, told: dict[str, Any], done: Heard) -> None:
+        done({"why": fit(told["doc"])})
+
+    def on_propose(self, told: dict[str, Any], done: Heard) -> None:
+        id, doc, again = str(told["id"]), told["doc"], bool(told.get("again"))
+        if why := fit(doc):
+            return done({"state": "nowhere", "why": why})
+
+        def make(value: Value) -> Value:
+            known = change.outcome(value, id)
+            if known and known[2] == "decided" and not again:
+                return value
+            return change.proposed(value, id, doc) or value
+
+        def made(value: Value | None) -> None:
+            if value and value["next"] and value["next"]["id"] == id:
+                self.own = value["next"]["try"]
+            done(value and self.told(value, id))
+
+        self.cas(make, made)
+
+    def on_change(self, told: dict[str, Any], done: Heard) -> None:
+        """What became of one: how far it is by what is known here, its end only from a majority."""
+        id = str(told["id"])
+        if self.value["next"] and self.value["next"]["id"] == id:
+            return done(self.told(self.value, id))
+        self.cas(lambda value: value, lambda value: done(value and self.told(value, id)))
+
+    def told(self, value: Value, id: str) -> dict[str, Any]:
+        new, known = value["next"], change.outcome(value, id)
+        if new and new["id"] == id:
+            return {"state": "proposed", "n": new["n"], "try": new["try"], **self.waits()}
+        if known and known[2] == "decided":
+            return {"state": "decided", "n": known[0], "now": value["n"], "lease": self.lease}
+        if known:
+            return {"state": "nowhere", "why": known[3]}
+        if new:
+            return {"state": "busy", "why": f"{new['id']} is proposed and not decided yet"}
+        return {"state": "unknown", "why": "no such change"}
+
+    def on_strike(self, told: dict[str, Any], done: Heard) -> None:
+        name = str(told["name"])
+        known = name in self.value["stay"]
+        self.cas(lambda value: change.struck(value, name) or value,
+                 lambda value: done(value and {"struck": known and name not in value["stay"]}))
+
+    def on_status(self, told: dict[str, Any], done: Heard) -> None:
+        now, value, new = self.clock(), self.value, self.value["next"]
+        done({"name": self.name, "controls": self.names, "lost": self.acceptor is None, "lease": self.lease,
+              "ballot": self.acceptor.kept.ballot if self.acceptor else NONE,
+              "n": value["n"], "id": value["id"], "stay": value["stay"], "past": value["past"],
+              "next": new and {"id": new["id"], "n": new["n"], "try": new["try"]}, **self.waits(),
+              "rows": [row._replace(heard=now - row.heard, until=row.until - now)._asdict()
+                       for row in self.leases.rows.values()]})
+
+
+class Attempt:
+    """One round on the network."""
+
+    def __init__(self, control: Control, round: Round, tries: int) -> None:
+        self.control, self.round, self.tries, self.over = control, round, tries, False
+        self.heard = self.heard_accept = 0
+        control.call_all("/prepare", {"ballot": round.ballot}, lambda: control.prepare(round.ballot),
+                         self.prepared)
+
+    def prepared(self, name: str, said: Any) -> None:
+        self.heard += 1
+        if said:
+            self.control.highest = max(self.control.highest, said["promised"][0])
+        if self.over:
+            return
+        if said and said["ok"]:
+            if self.round.prepared(name, tuple(said["ballot"]), said["value"]):
+                value, ballot = self.round.value, self.round.ballot
+                assert value is not None
+                return self.control.call_all("/accept", {"ballot": ballot, "value": value},
+                                             lambda: self.control.accept(ballot, value), self.accepted)
+        if self.heard == len(self.control.names) and self.round.value is None:
+            self.end(None)
+
+    def accepted(self, name: str, said: Any) -> None:
+        self.heard_accept += 1
+        if self.over:
+            return
+        if said and said["ok"] and self.round.accepted(name):
+            return self.end(self.round.value)
+        if self.heard_accept == len(self.control.names):
+            # waiting for balancers is not for the next round: who drives asks first
+            self.end(None, 1 if said and said.get("late") else self.tries)
+
+    def end(self, value: Value | None, tries: int = 0) -> None:
+        self.over = True
+        self.control.round_over(value, tries or self.tries)
+
+
+def run(path: str | None, new: bool, make_files: Callable[[Path], Files] = Files,
+        make: Callable[..., Control] = Control) -> None:
+    """A control process, until SIGTERM or SIGINT. Raises BadStart."""
+    if not path:
+        raise BadStart("--config names no file")
+    try:
+        told = orjson.loads(Path(path).read_bytes())
+        name, peers = str(told["name"]), {str(one): address_of(at) for one, at in told["control"].items()}
+        lease, folder = int(told.get("lease-ms", 10_000)) * 1000, str(told["dir"])
+        give_up = int(told.get("give-up-ms", lease // 1000 * 6)) * 1000
+        beyond = told.get("beyond-loopback", False)
+    except OSError as trouble:
+        raise BadStart(f"{path}: {trouble.strerror}") from None
+    except KeyError as trouble:
+        raise BadStart(f"{path}: {trouble.args[0]} is missing") from None
+    except (ValueError, TypeError, AttributeError) as trouble:
+        raise BadStart(f"{path}: {trouble}") from None
+    if name not in peers:
+        raise BadStart(f"{path}: control has no address for {name}")
+    if len(peers) not in (1, 3, 5):
+        raise BadStart(f"{path}: {len(peers)} control processes; 1, 3 or 5 can be")
+    if not 1_000_000 <= lease <= 600_000_000 or give_up < lease:
+        raise BadStart(f"{path}: lease-ms goes from 1000 to 600000, and give-up-ms is no less")
+    if not ipaddress.IPv4Address(peers[name][0]).is_loopback and beyond is not True:
+        raise BadStart(f"{path}: {text_of(peers[name])} is beyond loopback; set beyond-loopback to true, as "
+                       "whoever reaches it can change the policy")
+    log = Log(name)
+    loop = Loop(trouble=log.trouble)
+    try:
+        files = make_files(Path(folder))
+    except OSError as trouble:
+        raise BadStart(f"{folder}: {trouble.strerror}") from None
+    control = make(loop, name, peers, lease, give_up, files, log, Random())
+    control.begin(new)
+    try:
+        control.server.listen(peers[name])
+    except OSError as trouble:
+        raise BadStart(f"cannot listen on {text_of(peers[name])}: {trouble.strerror}") from None
+    bell, ear = socket.socketpair()
+    for end in (bell, ear):
+        end.setblocking(False)
+    loop.watch(ear, READ, lambda mask: setattr(loop, "running", False))
+    signal.set_wakeup_fd(bell.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: None)
+    log("control", listen=text_of(peers[name]), of=len(peers), n=control.value["n"], lease_ms=lease // 1000)
+    loop.run()
+    log("stopped")
--- /dev/null
+++ b/orchidgap/control/tenure.py
@@ -0,0 +1,275 @@
+"""A balancer's side of control: its lease, the versions it promises and takes, and a node that asks before
+it takes a
+req whether it may."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from orchidgap.control.calls import Calls
+from orchidgap.control.server import boot_clock, fit
+from orchidgap.decisions.change import STAY, Right, Tenure
+from orchidgap.decisions.register import Ballot, Value, chosen, majority
+from orchidgap.net import start
+from orchidgap.net.doorway import Answered
+from orchidgap.net.flow import Upload
+from orchidgap.net.log import Log
+from orchidgap.net.loop import Loop, Timer
+from orchidgap.net.node import Node
+from orchidgap.state.files import Damaged, Files
+
+WITHIN = 500_000       # for control to answer a call
+FIRST = 100_000        # between calls until control has said how often
+# told to clients that are denied because there is no lease; half as much more or less by chance
+COMEBACK = 1_000_000
+PARTING = 300_000      # for control to hear that this process ends
+
+
+class HeldNode(Node):
+    """A node that takes reqs by a right only. It looks at the clock for each: a process that stood still
+    for longer
+    than its lease finds out before the first req that it takes."""
+
+    keeper: Keeper
+
+    def ready(self) -> bool:
+        return self.keeper.may() and super().ready()
+
+    def knows(self, rule_set: str) -> bool:
+        # without a right it must not tell by a 404 what its version says, which may count no more
+        return not self.keeper.may() or super().knows(rule_set)
+
+    def take(self, caller: Answered, id: bytes, rule_set: str, left: int, write: bool, key: bytes,
+             tenant: str, head: bytes, body: bytes, slot: int = -1, flow: Upload | None = None) -> None:
+        if not self.keeper.may():
+            return caller.answer(503, pause=self.keeper.comeback())
+        if rule_set not in self.station.terms.rule_sets:  # the right came back between the two questions
+            return caller.answer(503, pause=self.keeper.comeback())
+        super().take(caller, id, rule_set, left, write, key, tenant, head, body, slot, flow)
+
+
+class Keeper:
+    """Calls control again and again, and does what its `Tenure` says. Opens the door once it holds a
+    lease."""
+
+    def __init__(self, path: str | None, loop: Loop, station: start.Station, log: Log, files: Files,
+                 rng: Random, clock: Callable[[], int] = boot_clock) -> None:
+        assert station.control
+        self.path, self.loop, self.log, self.files, self.rng, self.clock = path, loop, log, files, rng, clock
+        self.name = station.name
+        self.life = f"{rng.getrandbits(64):x}"
+        self.calls = [Calls(loop, address, WITHIN) for address in station.control["at"]]
+        self.tenure = Tenure(station.control["alone"], 0)
+        self.node: Node
+        self.opens: Callable[[], None] | None = None
+        self.turn = 0        # of its calls: an answer to an earlier one is told in none
+        self.asked = 0
+        self.again = FIRST
+        self.timer: Timer | None = None
+        self.answers: list[Any] = []
+        self.learned = False  # what is chosen, by those of this call
+        self.shown = Right.NONE
+        self.unfit = 0       # the version that it cannot take
+        self.ending = False
+
+    def may(self) -> bool:
+        return self.tenure.right(self.clock()) is not Right.NONE
+
+    def comeback(self) -> int:
+        return self.rng.randrange(COMEBACK // 2, COMEBACK * 3 // 2)
+
+    def begin(self, opens: Callable[[], None]) -> None:
+        self.opens = opens
+        try:
+            if old := self.files.read("policy"):
+                # what counts is asked for all the same
+                self.log("policy kept", n=old["n"])  # type: ignore[index]
+        except Damaged as trouble:
+            self.log("policy damaged", why=str(trouble))
+            self.files.set_aside("policy")
+        self.log("asks control", life=self.life, of=len(self.calls), alone=self.tenure.alone)
+        self.call()
+
+    def close(self) -> None:
+        """It takes nothing more: control is told, so that no change waits for a lease that nobody uses."""
+        self.ending = True
+        heard: list[Any] = []
+        for calls in self.calls:
+            calls("/part", {"name": self.name, "life": self.life}, heard.append)
+        until = self.loop.clock() + PARTING
+        while len(heard) < len(self.calls) and self.loop.clock() < until:
+            self.loop.turn(10_000)
+        for calls in self.calls:
+            calls.close()
+
+    # --- calls
+
+    def call(self) -> None:
+        if self.ending:
+            return
+        self.show()
+        self.turn += 1
+        self.answers, self.learned, self.asked = [], False, self.clock()
+        tenure = self.tenure
+        told = {"name": self.name, "life": self.life, "alone": tenure.alone, "runs": tenure.runs,
+                "promised": tenure.promised, "refused": tenure.refused, "why": tenure.why}
+        for calls in self.calls:
+            calls("/lease", told, partial(self.heard, self.turn))
+        self.next(max(FIRST, min(WITHIN, tenure.lease // 4)))  # where no answer comes
+
+    def next(self, delay: int) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.later(delay, self.call)
+
+    def next_in_turn(self) -> None:
+        spent = self.clock() - self.asked
+        self.next(max(0, round(self.again * self.rng.uniform(0.8, 1.0)) - spent))
+
+    def heard(self, turn: int, said: Any) -> None:
+        if turn != self.turn or self.ending:
+            return
+        if said and said["size"] != len(self.calls):
+            self.log("control unlike", why=f"it has {said['size']} processes, this file {len(self.calls)}")
+            said = None
+        self.answers.append(said)
+        told = [(self.ballot(one), one) for one in self.answers if one]
+        granted = chosen(len(self.calls), [pair for pair in told if pair[1]["grants"]])
+        value = granted or chosen(len(self.calls), told)
+        if value is not None and (granted or not self.learned):
+            self.learned = True
+            self.next_in_turn()
+            self.learn(value, granted is not None)
+        if granted:
+            self.turn += 1  # what others say of the same call adds nothing
+        elif len(self.answers) == len(self.calls) and not self.learned:
+            if len(told) >= majority(len(self.calls)):
+                self.one("/settle", {})  # they differ: one of them has to find out what is chosen
+            self.next(FIRST)
+        self.show()
+
+    @staticmethod
+    def ballot(said: Any) -> Ballot:
+        return int(said["ballot"][0]), str(said["ballot"][1])
+
+    def one(self, path: str, told: Any) -> None:
+        """A call to any one control process."""
+        self.rng.choice(self.calls)(path, told, lambda said: None)
+
+    # --- what is chosen
+
+    def learn(self, value: Value, granted: bool) -> None:
+        tenure = self.tenure
+        tenure.lease = int(value["lease"])
+        self.again = min(one["again"] for one in self.answers if one)
+        registered = value["stay"].get(self.name) == self.life
+        what = tenure.told(value, registered, self.asked, granted)
+        if what == "take" and self.take(value):
+            what = tenure.told(value, registered, self.asked, granted)
+            self.next(0)
+        if what == "check":
+            self.check(value["next"])
+        if tenure.alone == STAY and not registered and tenure.runs >= 0:
+            self.one("/join", {"name": self.name, "life": self.life})
+
+    def take(self, value: Value) -> bool:
+        """A decided version: reqs that come from now on are under it."""
+        n, doc = int(value["n"]), value.get("doc")
+        why = self.adopt(doc) if doc else "it did not come with the answer"
+        if why:
+            if self.unfit != n:
+                self.unfit = n
+                self.log("version unfit", n=n, why=why)
+            return False
+        self.unfit = 0
+        self.tenure.takes(n)
+        self.log("version runs", n=n, id=value["id"])
+        try:
+            self.files.write("policy", {"n": n, "id": value["id"], "doc": doc})
+        except OSError as trouble:  # it stands in the register: nothing is lost by this
+            self.log("disk fails", why=trouble.strerror)
+        return True
+
+    def adopt(self, doc: Any) -> str:
+        """Why it cannot be taken; empty where it has been."""
+        if why := fit(doc):
+            return why
+        try:
+            station = start.read(self.path, None, doc["settings"])
+        except start.BadStart as trouble:
+            return str(trouble)
+        if self.tenure.runs >= 0 and (why := self.standing(station)):
+            return why
+        self.node.settings = doc["settings"]
+        if self.opens:  # nothing has begun under other terms yet
+            self.node.station = station
+            self.node.hosts.bound(station.connect_within, station.idle_for)
+            self.node.decide(self.node.balancer.on_terms, station.terms)
+        else:
+            self.node.adopt(station)
+        return ""
+
+    def standing(self, station: start.Station) -> str:
+        """What of it would have to wait for a restart, so that it cannot hold everywhere."""
+        old = self.node.station.terms
+        kept = station.terms.standing(old)
+        for name in kept._fields:
+            if getattr(kept, name) != getattr(station.terms, name):
+                return f"{name} cannot change while a balancer runs"
+        return ""
+
+    def check(self, new: Value) -> None:
+        """What is proposed: promised only once it is on the disk."""
+        number, why = int(new["try"]), fit(new["doc"])
+        if not why:
+            try:
+                why = self.standing(start.read(self.path, self.node.station, new["doc"]["settings"]))
+            except start.BadStart as trouble:
+                why = str(trouble)
+        if not why:
+            try:
+                self.files.write("promise", new)
+            except OSError as trouble:
+                why = f"disk: {trouble.strerror}"
+        if why:
+            self.tenure.refuse(number, why)
+            self.log("version refused", n=new["n"], id=new["id"], why=why)
+        else:
+            self.tenure.promise(number)
+            self.log("version promised", n=new["n"], id=new["id"])
+        self.next(0)
+
+    # --- its right
+
+    def show(self) -> None:
+        """One line where it has changed, and the door where it is the first."""
+        right = self.tenure.right(self.clock())
+        if right is Right.SERVES and self.opens:
+            opens, self.opens = self.opens, None
+            try:
+                opens()
+            except start.BadStart as trouble:
+                self.log("ends", why=str(trouble))
+                self.loop.running = False
+        if right is not self.shown:
+            was, self.shown = self.shown, right
+            self.log("right", now=right.value, before=was.value, n=self.tenure.runs)
+
+
+def held(path: str | None, loop: Loop, station: start.Station, log: Log, *more: Any,
+         make_files: Callable[[Path], Files] = Files, make: Callable[..., Keeper] = Keeper,
+         **named: Any) -> tuple[Node, Keeper]:
+    """A node that control holds, and what holds it. Raises BadStart."""
+    assert station.control
+    try:
+        files = make_files(Path(station.control["dir"]))
+    except OSError as trouble:
+        raise start.BadStart(f"{station.control['dir']}: {trouble.strerror}") from None
+    keeper = make(path, loop, station, log, files, Random())
+    node = HeldNode(loop, station, log, *more, **named)
+    node.keeper, keeper.node = keeper, node
+    return node, keeper
--- /dev/null
+++ b/orchidgap/drill/defects.py
@@ -0,0 +1,114 @@
+"""Defects planted on purpose, by name: each a program that would pass for a good one until a fault shows
+it."""
+
+# mypy: disable-error-code="method-assign, attr-defined"
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from orchidgap.control.server import Control
+from orchidgap.control.tenure import Keeper
+from orchidgap.decisions.change import Leases, Right, Tenure
+from orchidgap.decisions.register import Value
+from orchidgap.http1.front import Client
+
+
+def skips() -> None:
+    """It says that it runs a version, and goes on under the one before."""
+    adopt = Keeper.adopt
+
+    Keeper.adopt = lambda self, doc: adopt(self, doc) if self.tenure.runs < 0 else ""
+
+
+def early() -> None:
+    """It serves before it knows what is decided."""
+    begin = Keeper.begin
+
+    def open_at_once(self: Keeper, opens: Callable[[], None]) -> None:
+        begin(self, lambda: None)
+        opens()
+
+    Keeper.begin = open_at_once
+    Keeper.may = lambda self: True
+
+
+def forgets() -> None:
+    """It loses its promise: alone, it goes on as if it had given none."""
+    Tenure.promise = lambda self, number: None
+    call = Keeper.call
+
+    def say(self: Keeper) -> None:
+        if self.seen_try:
+            self.tenure.promised, kept = self.seen_try, self.tenure.promised
+            call(self)
+            self.tenure.promised = kept
+        else:
+            call(self)
+
+    check = Keeper.check
+
+    def saw(self: Keeper, new: Value) -> None:
+        self.seen_try = new["try"]
+        check(self, new)
+
+    Keeper.seen_try = 0
+    Keeper.call, Keeper.check = say, saw
+
+
+def twice() -> None:
+    """It answers a req two times."""
+    answer = Client.answer
+
+    def again(self: Client, status: int, *more: Any, **named: Any) -> None:
+        answer(self, status, *more, **named)
+        if status == 200 and more:
+            self.conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+    Client.answer = again
+
+
+def hasty() -> None:
+    """It takes a version that it has only promised."""
+    check = Keeper.check
+
+    def take(self: Keeper, new: Value) -> None:
+        check(self, new)
+        if self.tenure.promised == new["try"]:
+            self.adopt(new["doc"])
+
+    Keeper.check = take
+
+
+def leaseless() -> None:
+    """Once it had a lease it serves for ever."""
+
+    Tenure.right = lambda self, now: Right.SERVES if self.runs >= 0 else Right.NONE
+
+
+def dozes() -> None:
+    """It looks at the time only when the loop has time for that, so that a stop goes unseen."""
+    may, show = Keeper.may, Keeper.show
+
+    def look(self: Keeper) -> None:
+        show(self)
+        self.cached = may(self)
+
+    Keeper.cached = False
+    Keeper.show = look
+    Keeper.may = lambda self: self.cached
+
+
+def impatient() -> None:
+    """Control decides without waiting for anybody."""
+    Leases.behind = lambda self, *told: []
+
+
+def amnesic() -> None:
+    """Control tells what it never wrote."""
+    Control.write = lambda self, kept: None
+
+
+DEFECTS = {defect.__name__: defect for defect in (
+    skips, early, forgets, twice, hasty, leaseless, dozes, impatient, amnesic)}
--- /dev/null
+++ b/orchidgap/drill/plan.py
@@ -0,0 +1,111 @@
+"""What a drill plays: a trial's plan for hosts, callers and load, a table `control`, and steps of `when
+SEEN do FAULT`."""
+
+from __future__ import annotations
+
+import shlex
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta
+
+from orchidgap.trial.plan import BadPlan, Count, Natural, Plan, Positive, Table, Work, checked
+
+SEEN = {  # by the first word: how many more there are
+    "up": 0, "seconds": 1, "log": 2, "ended": 0, "serves": 2, "denies": 1, "takes": 1, "gone": 1,
+}
+DO = {
+    "nothing": 0, "propose": (1, 2), "kill": 1, "term": 1, "stop": 1, "go": 1, "start": 1, "wipe": 1,
+    "tear": 2, "full": 1, "room": 1, "disk": 4, "cut": 2, "stall": 2, "slow": 3, "heal": (0, 2), "strike": 1,
+    "hup": 1, "draw": 0, "mend": 0, "hosts": 2,
+}
+
+
+class Control(Table, frozen=True):
+    count: Annotated[int, Meta(ge=1, le=5)] = 1
+    lease_ms: Positive = 2_000.0
+    give_up_ms: Positive = 8_000.0
+    alone: Literal["leave", "stay"] = "leave"
+
+
+class Step(Table, frozen=True):
+    """`when` waits for what is seen from outside, no longer than `within-s`; `do` is done then, one act or
+    several."""
+
+    when: str
+    do: str = "nothing"
+    within_s: Positive = 15.0
+    times: Count = 1
+
+
+class Drill(Table, frozen=True):
+    plan: Plan
+    control: Control
+    steps: tuple[Step, ...]
+    outcomes: tuple[str, ...] = ()  # what has to come of the proposals, in their order; none: whatever does
+    settle_s: Natural = 3.0         # at the end, all healed: within so much all serve under what counts
+    failing: bool = False           # processes whose disks can be made to fail at a step of a write
+
+
+def words(text: str, known: dict[str, Any], where: str) -> list[str]:
+    try:
+        found = shlex.split(text)
+    except ValueError as trouble:
+        raise BadPlan(f"{trouble} - at `{where}`") from None
+    if not found or found[0] not in known:
+        raise BadPlan(f"{text!r} begins with none of {', '.join(known)} - at `{where}`")
+    least, most = known[found[0]] if isinstance(known[found[0]], tuple) else (known[found[0]],) * 2
+    if not least <= len(found) - 1 <= most:
+        raise BadPlan(f"{found[0]} takes {least} to {most} words - at `{where}`")
+    return found
+
+
+def versions_of(steps: tuple[Step, ...]) -> int:
+    """The highest version that is proposed; a step done again proposes the next one."""
+    return sum(step.times for step in steps for act in step.do.split(";") if act.split()[0] == "propose")
+
+
+def parse(text: str) -> Drill:
+    """
+    >>> drill = parse('name = "x"\\n[[step]]\\nwhen = "up"\\ndo = "propose 1; kill b0"')
+    >>> drill.control.count, drill.steps[0].when, [work.name for work in drill.plan.works()]
+    (1, 'up', ['base', 'v0', 'v1'])
+    >>> parse('name = "x"\\n[[step]]\\nwhen = "soon"')
+    Traceback (most recent call last):
+        ...
+    orchidgap.trial.plan.BadPlan: 'soon' begins with none of up, seconds, log, ended, serves, denies, \
+takes, gone - at `step[0].when`
+    """
+    try:
+        told = tomllib.loads(text)
+        control = msgspec.convert(told.pop("control", {}), Control)
+        steps = msgspec.convert(told.pop("step", ()), tuple[Step, ...])
+        more = {name: told.pop(name) for name in ("outcomes", "settle-s", "failing") if name in told}
+    except tomllib.TOMLDecodeError as trouble:
+        raise BadPlan(f"not TOML: {trouble}") from None
+    except msgspec.ValidationError as trouble:
+        raise BadPlan(str(trouble)) from None
+    for i, step in enumerate(steps):
+        words(step.when, SEEN, f"step[{i}].when")
+        for act in step.do.split(";"):
+            words(act, DO, f"step[{i}].do")
+    if control.count not in (1, 3, 5):
+        raise BadPlan("1, 3 or 5 can be - at `control.count`")
+    plan = checked(told)
+    # every version has a class that no other has: what a client is answered for it tells which one governs
+    marks = [Work(f"v{n}", 0.01, 5, 1_000, 2_000) for n in range(versions_of(steps) + 1)]
+    plan = msgspec.structs.replace(plan, work=(Work("base", 1.0, 5, 1_000, 2_000), *marks))
+    return Drill(plan, control, steps, tuple(more.get("outcomes", ())), float(more.get("settle-s", 3.0)),
+                 bool(more.get("failing", False)))
+
+
+def read(path: str) -> Drill:
+    """Raises BadPlan with one line."""
+    try:
+        return parse(Path(path).read_text())
+    except OSError as trouble:
+        raise BadPlan(f"{path}: {trouble.strerror}") from None
+    except BadPlan as trouble:
+        raise BadPlan(f"{path}: {trouble}") from None
--- /dev/null
+++ b/orchidgap/drill/town.py
@@ -0,0 +1,565 @@
+"""A drill's processes: balancers and control as the program starts them, relays between, and whoever calls
+control."""
+
+from __future__ import annotations
+
+import ctypes
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from orchidgap.control.calls import Calls
+from orchidgap.drill.judge import Fate, Judge
+from orchidgap.drill.plan import DO, SEEN, Drill, words
+from orchidgap.drill.relay import Relay
+from orchidgap.net.connection import Address
+from orchidgap.net.places import text_of
+from orchidgap.trial.callers import Callers
+from orchidgap.trial.plan import Work, micros, millis
+from orchidgap.trial.referee import Ask, Op
+from orchidgap.trial.scene import Decider, RealPost, Scene, VirtualPost, place
+
+LOOK = 50_000            # between looks at what is seen
+WATCH = 50_000           # between questions to control whether a version is decided
+# a client's req is on its way, and answers are seen, with this much delay in a busy drill
+SLACK = 250_000
+DAMAGE = b"torn"
+TRIED = 1.2              # how long a proposer waits, of the time after which control gives up
+LIBC = ctypes.CDLL(None)
+OUTCOMES = {0: "decided", 2: "nowhere", 3: "unknown"}
+
+
+def die_with_parent() -> None:
+    """A drill that is killed leaves no process behind."""
+    LIBC.prctl(1, signal.SIGKILL)
+
+
+class Witnesses(Callers):
+    """Clients that ask, beside the usual, for the classes of the versions that may govern now."""
+
+    scene: Town
+
+    def draw(self) -> Op:
+        op = super().draw()
+        recent = self.scene.recent()
+        name = "base" if self.rng.random() < 0.3 else f"v{self.rng.choice(recent)}"
+        op.work = next(work for work in self.works if work.name == name)
+        op.counts = name == "base"
+        return op
+
+    def unknown(self, ask: Ask) -> None:
+        self.scene.referee.aborted -= 1  # it asked which version counts, and was told
+        if ask.op.work.name == "base":
+            super().unknown(ask)
+
+    def choose(self, but: str = "") -> str | None:
+        """Every balancer alike, also one that denies: which version governs it is what is asked."""
+        there = [name for name, post in self.scene.posts.items()
+                 if post.alive and post.ready_at and name != but]
+        return self.rng.choice(there) if there else None
+
+
+class Process(RealPost):
+    """A balancer of the program."""
+
+    scene: Town
+
+    def command(self) -> list[str]:
+        return self.scene.command("serve")
+
+    def spawn(self, known: dict[str, Any]) -> None:
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps(self.scene.told(self, known)))
+        self.process = self.scene.start_process(self.name, [*self.command(), f"--config={path}"])
+
+    def until_up(self) -> None:
+        """Its listener opens when it holds a lease; looked for again and again, by many."""
+        if self.alive and not self.ready_at:
+            calls = Calls(self.scene.loop, self.address, 200_000)
+
+            def heard(said: Any) -> None:
+                for link in list(calls.open):
+                    link.close()
+                if said:
+                    self.ready_at = self.scene.loop.now
+                else:
+                    self.scene.loop.later(50_000, self.until_up)
+
+            calls.ask("/up", heard)
+
+    def gone(self) -> None:
+        super().gone()
+        self.ready_at = 0
+
+
+class ControlPost:
+    """A control process."""
+
+    def __init__(self, town: Town, number: int) -> None:
+        self.town, self.number, self.name = town, number, f"k{number}"
+        self.address: Address = (f"127.5.0.{number + 1}", 7500)
+        self.process: subprocess.Popen[bytes] | None = None
+        self.new = True
+        self.alive = False
+
+    def begin(self) -> None:
+        town, folder = self.town, self.town.place
+        path = folder / f"{self.name}.json"
+        path.write_text(json.dumps({
+            "name": self.name, "dir": str(folder / f"{self.name}.disk"),
+            "control": {post.name: text_of(post.address if post is self else town.way_to(self.name, post))
+                        for post in town.controls},
+            "lease-ms": town.drill.control.lease_ms, "give-up-ms": town.drill.control.give_up_ms}))
+        new, self.new = ["--new"] if self.new else [], False
+        self.process = town.start_process(self.name, [*town.command("control"), f"--config={path}", *new])
+        self.alive = True
+
+
+class Town(Scene):
+    """All processes of one drill, and its steps."""
+
+    def __init__(self, drill: Drill, seed: int | None = None, defect: str = "") -> None:
+        self.drill, self.defect = drill, defect
+        self.telling = 0  # the version whose settings are written
+        self.relays: dict[tuple[str, str], Relay] = {}
+        self.count = 0    # of callers of control
+        self.latest = 0
+        super().__init__(drill.plan, seed, real=True)
+        assert self.folder
+        self.place = Path(self.folder.name)
+        self.controls = [ControlPost(self, number) for number in range(drill.control.count)]
+        self.judge = Judge(self.referee, millis(drill.control.lease_ms), SLACK)
+        self.shells: list[tuple[Fate, subprocess.Popen[bytes]]] = []
+        self.watches = [Calls(self.loop, post.address, 300_000) for post in self.controls]
+        self.logs: dict[str, tuple[int, list[str]]] = {}  # by process: how far read, its lines
+        self.log_from: dict[str, int] = {}                # lines there when the step before was done
+        self.troubles: list[str] = []
+
+    # --- what the trial's parts ask
+
+    def post(self, name: str, number: int, zone: int, decider: Decider) -> VirtualPost | RealPost:
+        assert self.folder
+        return Process(self, name, number, zone, self.policy, self.folder.name)
+
+    def clients(self) -> Callers:
+        return Witnesses(self)
+
+    def told(self, post: Any, known: dict[str, Any]) -> dict[str, Any]:
+        told = super().told(post, known)
+        told["control"] = {"at": [text_of(self.way_to(post.name, one)) for one in self.controls],
+                           "dir": str(self.place / f"{post.name}.disk"), "alone": self.drill.control.alone}
+        return told
+
+    def listed(self, work: Work) -> bool:
+        return work.name in ("base", f"v{self.telling}")
+
+    def recent(self) -> list[int]:
+        """Versions that may govern now: those proposed last, and what was decided before them."""
+        decided = [number for number, fate in self.judge.fates.items() if fate.outcome == "decided"]
+        return sorted({*list(self.judge.fates)[-2:], *decided[-2:]})
+
+    # --- processes
+
+    def command(self, kind: str) -> list[str]:
+        if self.drill.failing or self.defect:
+            return ["-m", "orchidgap.drill.process", kind]
+        return ["-m", "orchidgap", kind]
+
+    def start_process(self, name: str, command: list[str]) -> subprocess.Popen[bytes]:
+        more = {"DRILL_DISK": str(self.place / f"{name}.orders"), "DRILL_DEFECT": self.defect}
+        with open(self.place / f"{name}.log", "ab") as log:
+            return subprocess.Popen([sys.executable, *command], stderr=log, stdout=log, env=os.environ | more,
+                                    preexec_fn=die_with_parent)
+
+    def way_to(self, who: str, post: ControlPost) -> Address:
+        """Where this process finds that control process: a relay between the two."""
+        if (who, post.name) not in self.relays:
+            at = (f"127.{100 + post.number}.{place(len(self.relays))}", 7500)
+            self.relays[who, post.name] = Relay(self.loop, at, post.address)
+        return self.relays[who, post.name].at
+
+    def process_of(self, name: str) -> subprocess.Popen[bytes]:
+        post = self.posts[name] if name in self.posts else self.controls[int(name[1:])]
+        assert isinstance(post, Process | ControlPost) and post.process
+        return post.process
+
+    def lines(self, name: str) -> list[str]:
+        """The events of its log so far."""
+        at, events = self.logs.get(name, (0, []))
+        with suppress(OSError), open(self.place / f"{name}.log", "rb") as file:
+            file.seek(at)
+            text = file.read()
+            whole = text.rpartition(b"\n")[0]
+            at += len(whole) + (1 if whole else 0)
+            for line in whole.splitlines():
+                with suppress(ValueError):
+                    events.append(str(orjson.loads(line).get("event")))
+        self.logs[name] = at, events
+        return events
+
+    # --- what is seen
+
+    def seen(self, when: str, since: int) -> bool:
+        what, *more = words(when, SEEN, when)
+        if what == "seconds":
+            return self.loop.now - since >= micros(float(more[0]))
+        if what == "up":
+            return all(post.ready_at > 0 for post in self.posts.values() if post.alive)
+        if what == "ended":
+            return not self.shells
+        if what == "log":
+            names = [name for name in (*self.posts, *(post.name for post in self.controls))
+                     if more[0] in (name, "any")]
+            return any(more[1] in self.lines(name)[self.log_from.get(name, 0):] for name in names)
+        if what == "gone":
+            return self.process_of(more[0]).poll() is not None
+        asks = [ask for ask in reversed(self.referee.asks.values()) if ask.came > since]
+        if what == "takes":  # some balancer answers under that version
+            return any(ask.status == 200 and ask.op.work.name == more[0] for ask in asks)
+        asks = [ask for ask in asks if ask.balancer == more[0]]
+        if what == "serves":
+            return any(ask.status == 200 and ask.op.work.name == more[1] for ask in asks)
+        return any(ask.status == 503 for ask in asks)
+
+    # --- what is done
+
+    def act(self, text: str) -> None:
+        what, *more = words(text, DO, text)
+        if what in ("draw", "mend"):
+            getattr(self, what)()
+        elif what != "nothing":
+            self.referee.event(self.loop.now, text)
+            getattr(self, f"do_{what}")(*more)
+
+    def do_propose(self, how: str, by: str = "", more: str = "") -> None:
+        """`how` is good or bad; `by` names the control process asked, `again` the number of the change
+        asked anew."""
+        anew = by.startswith("v")
+        number = int(by[1:]) if anew else self.latest + 1
+        self.latest = max(self.latest, number)
+        self.telling = number
+        doc = {"settings": super().told(next(iter(self.posts.values())), {})["settings"]}
+        self.telling = 0
+        if how == "bad":
+            doc["settings"]["registry-mode"] = "poll"
+        path = self.place / f"v{number}.doc"
+        path.write_text(json.dumps(doc))
+        if not anew:
+            self.judge.fates[number] = Fate(number, self.loop.now)
+        asked = [post for post in self.controls if by in ("", post.name) or anew]
+        at = ",".join(text_of(self.way_to("shell", post)) for post in asked)
+        wait = self.drill.control.give_up_ms / 1e3 * TRIED
+        shell = subprocess.Popen(
+            [sys.executable, "-m", "orchidgap", "change", "propose", str(path), f"--at={at}",
+             f"--id=v{number}", f"--wait={wait}", "--json"],
+            stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, preexec_fn=die_with_parent)
+        self.shells.append((self.judge.fates[number], shell))
+
+    def do_kill(self, name: str) -> None:
+        process = self.process_of(name)
+        process.kill()
+        process.wait()
+        if name in self.posts:
+            self.posts[name].gone()
+        else:
+            self.controls[int(name[1:])].alive = False
+
+    def do_term(self, name: str) -> None:
+        if name in self.posts:
+            return self.posts[name].leave()
+        self.process_of(name).terminate()
+        self.process_of(name).wait()
+        self.controls[int(name[1:])].alive = False
+
+    def do_start(self, name: str) -> None:
+        if name not in self.posts:
+            return self.controls[int(name[1:])].begin()
+        post = self.posts[name]
+        if post.alive:
+            post.kill()
+        post.begin(self.known_of(name))
+
+    def do_stop(self, name: str) -> None:
+        self.process_of(name).send_signal(signal.SIGSTOP)
+        if name in self.posts:
+            self.posts[name].stood.append((self.loop.now, 1 << 62))
+
+    def do_go(self, name: str) -> None:
+        self.process_of(name).send_signal(signal.SIGCONT)
+        if name in self.posts:
+            post = self.posts[name]
+            post.stood.append((post.stood.pop()[0], self.loop.now + 1_000_000))
+
+    def do_wipe(self, name: str) -> None:
+        shutil.rmtree(self.place / f"{name}.disk", ignore_errors=True)
+
+    def do_tear(self, name: str, file: str) -> None:
+        path = self.place / f"{name}.disk" / file
+        text = path.read_bytes() if path.exists() else DAMAGE
+        path.write_bytes(text[:max(1, len(text) // 2)])
+
+    def do_full(self, name: str) -> None:
+        """The system itself says that there is no room."""
+        folder = self.place / f"{name}.disk"
+        folder.mkdir(exist_ok=True)
+        for file in ("policy", "promise", "register"):
+            beside = folder / f"{file}.new"
+            beside.unlink(missing_ok=True)
+            beside.symlink_to("/dev/full")
+
+    def do_room(self, name: str) -> None:
+        for file in ("policy", "promise", "register"):
+            (self.place / f"{name}.disk" / f"{file}.new").unlink(missing_ok=True)
+
+    def do_disk(self, name: str, step: str, number: str, what: str) -> None:
+        orders = self.place / f"{name}.orders"
+        beside = orders.with_suffix(".beside")
+        beside.write_text(f"{step} {number} {what}\n")
+        beside.replace(orders)
+
+    def between(self, one: str, other: str) -> list[Relay]:
+        """The relays on which these two meet; all stands for whoever does."""
+        return [relay for (who, post), relay in self.relays.items()
+                if any(near in (who, "all") and far in (post, "all")
+                       for near, far in ((one, other), (other, one)))]
+
+    def do_cut(self, one: str, other: str) -> None:
+        for relay in self.between(one, other):
+            relay.set(cut=True)
+
+    def do_stall(self, one: str, other: str) -> None:
+        """What `one` sends to `other` does not arrive; the other way it does."""
+        for (who, post), relay in self.relays.items():
+            if one in (who, "all") and other in (post, "all"):
+                relay.set(there=True, back=relay.back)
+            elif one in (post, "all") and other in (who, "all"):
+                relay.set(there=relay.there, back=True)
+
+    def do_slow(self, one: str, other: str, delay_ms: str) -> None:
+        for relay in self.between(one, other):
+            relay.set(delay=millis(float(delay_ms)))
+
+    def do_heal(self, one: str = "all", other: str = "all") -> None:
+        for relay in self.between(one, other):
+            relay.set()
+
+    def do_strike(self, name: str) -> None:
+        at = ",".join(text_of(self.way_to("shell", post)) for post in self.controls)
+        shell = subprocess.Popen(
+            [sys.executable, "-m", "orchidgap", "change", "strike", name, f"--at={at}"],
+            stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, preexec_fn=die_with_parent)
+        self.until(lambda: shell.poll() is not None, 20, "struck off")
+        shell.kill()
+
+    def do_hup(self, name: str) -> None:
+        """The file gets settings of its own, which control's go before."""
+        self.telling = 999
+        post = self.posts[name]
+        text = json.dumps(self.told(post, self.known_of(name)))
+        self.telling = 0
+        post.hup(text.encode())
+
+    def do_hosts(self, host: str, health: str) -> None:
+        """The list changes beside it."""
+        self.listing.put(host, health)
+
+    def draw(self) -> None:
+        """A fault by chance, on whoever; `mend` ends them all."""
+        rng, balancers = self.rng, list(self.posts)
+        b, k = rng.choice(balancers), rng.choice([post.name for post in self.controls])
+        faults = [f"cut {b} all", f"stall {b} all", f"stall all {b}", f"full {b}",
+                  f"slow {b} all {rng.randrange(20, 300)}"]
+        if self.posts[b].alive:
+            faults += [f"kill {b}", f"stop {b}", f"term {b}"] * 2
+        if len(self.controls) > 1 and all(post.alive for post in self.controls):
+            faults += [f"kill {k}", f"stop {k}", f"cut all {k}", f"full {k}", f"stall {k} all"]
+        elif len(self.controls) == 1 and self.controls[0].alive:
+            faults += [f"kill {k}", f"stop {k}", f"full {k}"]
+        if self.drill.failing:
+            step = rng.choice(("open", "write", "fsync", "rename"))
+            what = rng.choice(("ENOSPC", "EIO", "kill", "short" if step == "write" else "EIO"))
+            faults += [f"disk {name} {step} {rng.randrange(1, 4)} {what}" for name in (b, k)]
+        self.act(rng.choice(faults))
+        if rng.random() < 0.5:
+            self.loop.later(rng.randrange(200_000, 2_000_000), self.mend)
+
+    def mend(self) -> None:
+        """All faults end: links heal, what stands still goes on, what is dead starts again."""
+        self.do_heal()
+        for name in self.posts:
+            self.do_room(name)
+            post = self.posts[name]
+            if post.alive and post.stood and post.stood[-1][1] > self.loop.now + 2_000_000:
+                self.do_go(name)
+            if post.alive and self.process_of(name).poll() is not None:
+                post.gone()
+            if not post.alive:
+                post.begin(self.known_of(name))
+        for control in self.controls:
+            self.do_room(control.name)
+            assert control.process
+            with suppress(ProcessLookupError):
+                control.process.send_signal(signal.SIGCONT)
+            if control.process.poll() is not None:
+                control.begin()
+        for orders in self.place.glob("*.orders"):
+            orders.unlink()
+
+    # --- the run
+
+    def look(self) -> None:
+        """Callers of control that have ended, and processes that a disk's order has killed."""
+        for fate, shell in list(self.shells):
+            if shell.poll() is not None:
+                self.shells.remove((fate, shell))
+                assert shell.stdout
+                with shell.stdout as out:
+                    text = out.read().splitlines()
+                said = orjson.loads(text[-1]) if text else {}
+                outcome = OUTCOMES.get(shell.returncode, "unknown")
+                self.judge.told(fate, outcome, int(said.get("n", 0)) if outcome == "decided" else 0,
+                                str(said.get("why", "")), self.loop.now)
+        for post in self.posts.values():
+            if post.alive and not post.leaving and self.process_of(post.name).poll() is not None:
+                post.gone()
+        for control in self.controls:
+            control.alive = control.alive and control.process is not None and control.process.poll() is None
+
+    def watch(self) -> None:
+        """Until when a version was certainly not decided: a majority of control had not taken it."""
+        self.loop.later(WATCH, self.watch)
+        asked, heard = self.loop.clock(), []
+        open_ = [fate for fate in self.judge.fates.values() if fate.number and not fate.outcome]
+
+        def told(said: Any) -> None:
+            if said and not said["lost"]:
+                heard.append(said)
+            if len(heard) == len(self.controls) // 2 + 1:
+                for fate in open_:
+                    if not any(one["id"] == f"v{fate.number}" or any(
+                            row[1] == f"v{fate.number}" and row[0] for row in one["past"]) for one in heard):
+                        fate.not_before = max(fate.not_before, asked)
+
+        if open_:
+            for calls in self.watches:
+                calls("/status", {}, told)
+
+    def play(self, tick: Callable[[float], None] | None = None) -> dict[str, Any]:
+        """The steps in their order, then all healed; the verdict."""
+        began = time.monotonic()
+        try:
+            for control in self.controls:
+                control.begin()
+            _, entries = self.listing.since(None, 1)
+            for post in self.posts.values():
+                post.begin({"seq": 1, "whole": True, "hosts": entries})
+            self.until(lambda: all(post.ready_at for post in self.posts.values()), 30.0, "all up")
+            self.started = time.monotonic() - began
+            self.start = self.referee.start = self.loop.clock()
+            self.callers.end = self.start + micros(3_600)
+            self.loop.soon(self.callers.arrive)
+            self.loop.soon(self.watch)
+            for i, step in enumerate(self.drill.steps):
+                for _ in range(step.times):
+                    self.step(i, step.when, step.do, step.within_s)
+            self.mend()
+            wait = self.drill.control.give_up_ms / 1e3 * TRIED + 5
+            self.until(lambda: not self.shells, wait, "no proposal open")
+            self.end()
+            return self.judge.verdict(self.judged())
+        finally:
+            self.close()
+
+    def step(self, number: int, when: str, do: str, within: float) -> None:
+        since = self.loop.now
+        if not self.until(lambda: self.seen(when, since), within, f"step {number}, {when}"):
+            return
+        for name in self.logs:
+            self.log_from[name] = len(self.lines(name))
+        for act in do.split(";"):
+            self.act(act)
+
+    def until(self, seen: Callable[[], bool], within: float, what: str) -> bool:
+        """Whether it was seen in time; if not, that is told, and the drill is broken."""
+        end, next_look = time.monotonic() + within, 0
+        while True:
+            self.loop.turn(10_000)
+            if self.loop.now >= next_look:
+                next_look = self.loop.now + LOOK
+                self.look()
+                if seen():
+                    return True
+            if time.monotonic() > end:
+                self.judge.breach("stuck", self.loop.now, f"not seen in {within:g} s: {what}")
+                return False
+
+    def end(self) -> None:
+        """All is healed: what counts has to be what all serve under, and what all callers are told."""
+        numbers = [number for number in self.judge.fates if number]
+        for number in numbers:
+            fate = self.judge.fates[number]
+            said = self.ask("/change", {"id": f"v{number}"})
+            if said and said["state"] in ("decided", "nowhere"):
+                self.judge.told(fate, said["state"], said.get("n", 0), said.get("why", ""), self.loop.now)
+            else:
+                # one that nobody could be told of was never proposed, and stays so
+                fate.outcome = "nowhere" if said and said["state"] == "unknown" else fate.outcome
+                if fate.outcome == "decided" or said is None or said["state"] not in ("unknown",):
+                    self.judge.breach("untrue" if said else "stuck", self.loop.now,
+                                      f"v{number}: {said and said['state']}, after {fate.outcome}")
+        best = max(self.judge.fates.values(), key=lambda fate: fate.n if fate.outcome == "decided" else -1)
+        since = self.loop.now
+        for name in [name for name, post in self.posts.items() if post.alive]:
+            spent = (self.loop.now - since) / 1e6
+            within = max(0.5, self.drill.settle_s + 3 * self.drill.control.lease_ms / 1e3 - spent)
+            wanted = f"serves {name} v{best.number}"
+            self.until(partial(self.seen, wanted, since), within, wanted)
+        found = tuple(self.judge.fates[number].outcome for number in numbers)
+        if self.drill.outcomes and found != self.drill.outcomes:
+            whys = "; ".join(self.judge.fates[number].why for number in numbers)
+            self.judge.breach("stuck", self.loop.now, f"outcomes {', '.join(found)}: {whys}")
+        self.judge.judge()
+
+    def ask(self, path: str, told: Any) -> Any:
+        """Of any control process, now that all are there."""
+        for _ in range(20):
+            for post in self.controls:
+                heard: list[Any] = []
+                Calls(self.loop, post.address, 2_000_000)(path, told, heard.append)
+                while not heard:
+                    self.loop.turn(10_000)
+                if heard[0] is not None:
+                    return heard[0]
+            end = self.loop.clock() + 200_000
+            while self.loop.clock() < end:
+                self.loop.turn(10_000)
+        return None
+
+    def close(self) -> None:
+        for _, shell in self.shells:
+            shell.kill()
+            shell.wait()
+            if shell.stdout:
+                shell.stdout.close()
+        for control in self.controls:
+            if control.process:
+                control.process.kill()
+                control.process.wait()
+        for post in self.posts.values():
+            if isinstance(post, Process) and post.process:
+                post.process.kill()
+                post.process.wait()
+        for relay in self.relays.values():
+            relay.close()
+        super().close()
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from hashlib import blake2b
 from typing import Any, Protocol, cast
 
@@ -26,7 +26,7 @@
 UPLOAD = 3_600_000_000  # the time of a req whose body is not whole: it goes by what comes, see the front
 TICK = 10_000
 # of what a new file may bring
-AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin", "watched")
+AT_NEXT_START = ("name", "listen", "sockets", "memory_mb", "resp", "admin", "watched", "control")
 LONG_KEY = 32
 SPARE = 48           # descriptors for all but clients and hosts, and for clients turned away
 HELD_KB = 128        # reckoned for each client: a req or an answer; few are as large, and few answers larger
@@ -201,6 +201,8 @@
 class Node:
     """The `ports.Port` of the decisions and the `clients.Door` of the clients."""
 
+    settings: Mapping[str, Any] | None = None  # that count in place of the file's
+
     def __init__(self, loop: Loop, station: Station, log: Log, parts: Parts, dial: Dial = dial,
                  decider: Callable[..., Any] = Balancer) -> None:
         self.loop, self.note = loop, log
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from orchidgap.admin.door import Operators
 from orchidgap.decisions.rules import Balancer
@@ -25,31 +25,54 @@
 BIND_FOR = 10.0  # seconds: a forerunner that was killed may still hold the address
 
 
+class Held(Protocol):
+    """What says when a balancer may let clients in."""
+
+    def begin(self, opens: Callable[[], None]) -> None: ...
+
+    def close(self) -> None: ...
+
+
 def serve(path: str | None, parts: Callable[[start.Station], Parts],
-          decider: Callable[..., Any] = Balancer) -> None:
-    """Takes the configuration's path, what is spoken and what decides; ends when told to. Raises BadStart."""
+          decider: Callable[..., Any] = Balancer,
+          held: Callable[..., tuple[Node, Held]] | None = None) -> None:
+    """Takes the configuration's path, what is spoken, what decides, and who makes a node that control
+    holds; ends
+    when told to. Raises BadStart."""
     station = start.read(path)
     log = Log(station.name)
     loop = Loop(trouble=log.trouble)
     if station.watched:
         decider = partial(Watching, station.watched)
-    node = Node(loop, station, log, parts(station), decider=decider)
+    holder: Held | None = None
+    if station.control and held:
+        node, holder = held(path, loop, station, log, parts(station), decider=decider)
+    else:
+        node = Node(loop, station, log, parts(station), decider=decider)
     bell = on_signal(loop, node, path)
     if station.admin:
         operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume,
                                      "watch": node.watch})
         listen(operators.listen, station.admin)
-    passed = os.environ.get("GW_PASSED_SOCKET")
-    if passed:
-        node.clients.inherit(inherited(passed))
-        node.handover = Handover(loop, node, os.environ.get("TMPDIR"), shared=True)
-        node.handover.begin()
+
+    def opens() -> None:
+        if passed := os.environ.get("GW_PASSED_SOCKET"):
+            node.clients.inherit(inherited(passed))
+            node.handover = Handover(loop, node, os.environ.get("TMPDIR"), shared=True)
+            node.handover.begin()
+        else:
+            listen(node.clients.listen, station.listen)
+        log("listening", listen=text_of(station.listen), operators=station.admin and text_of(station.admin),
+            hosts=len(station.known[3]), clients=node.clients.most, links=node.hosts.most)
+        node.start()
+
+    if holder:
+        holder.begin(opens)
     else:
-        listen(node.clients.listen, station.listen)
-    log("listening", listen=text_of(station.listen), operators=station.admin and text_of(station.admin),
-        hosts=len(station.known[3]), clients=node.clients.most, links=node.hosts.most)
-    node.start()
+        opens()
     loop.run()
+    if holder:
+        holder.close()
     bell.close()
 
 
@@ -88,6 +111,6 @@
 def read_anew(node: Node, path: str | None) -> None:
     """A file that cannot be used, or is only half there, must not cost what is known."""
     try:
-        node.adopt(start.read(path, node.station))
+        node.adopt(start.read(path, node.station, node.settings))
     except start.BadStart as trouble:
         node.note("terms kept", why=str(trouble))
--- a/orchidgap/net/start.py
+++ b/orchidgap/net/start.py
@@ -36,6 +36,7 @@
     admin: Address | None = None  # where operators call, if they may
     watched: ServiceTerms | None = None  # terms that are to be watched, not gone by
     shape: Mapping[str, str] = {}  # which keys the file had, with the kinds of their values
+    control: Mapping[str, Any] | None = None  # where the settings come from control: its part of the file
 
 
 def flat(tree: Any, path: str = "") -> Iterator[tuple[str, str]]:
@@ -56,8 +57,10 @@
         yield path, str(tree).lower() if isinstance(tree, bool) else str(tree)
 
 
-def read(path: str | None, before: Station | None = None) -> Station:
-    """Takes the file's path and what it is to follow, if anything. Raises BadStart if it cannot be used."""
+def read(path: str | None, before: Station | None = None,
+         settings: Mapping[str, Any] | None = None) -> Station:
+    """Takes the file's path, what it is to follow, if anything, and settings that count in place of its own.
+    Raises BadStart if it cannot be used."""
     if not path:
         raise BadStart("GW_CONFIG names no file")
     try:
@@ -65,13 +68,16 @@
             text = file.read()
     except OSError as trouble:
         raise BadStart(f"{path}: {trouble.strerror}") from None
-    return parse(text, path, before)
+    return parse(text, path, before, settings)
 
 
-def parse(text: bytes, path: str, before: Station | None = None) -> Station:
+def parse(text: bytes, path: str, before: Station | None = None,
+          settings: Mapping[str, Any] | None = None) -> Station:
     """The same of a file's text; the path only says whose it is."""
     try:
         told = orjson.loads(text)
+        if settings is not None and isinstance(told, dict):
+            told["settings"] = settings
     except ValueError as trouble:
         raise BadStart(f"{path} is not JSON: {trouble}") from None
     try:
@@ -105,6 +111,24 @@
     return watched
 
 
+def controlled(part: Any) -> Mapping[str, Any] | None:
+    """Where control is, this balancer's own folder, and what it does alone; None where it has no control.
+
+    >>> controlled({"at": ["127.0.0.1:7500"], "dir": "/var/lib/orchidgap"})["alone"]
+    'leave'
+    """
+    if part is None:
+        return None
+    if not isinstance(part, Mapping) or not isinstance(part.get("dir"), str):
+        raise BadTerm("control must be an object with at and dir")
+    at = part.get("at")
+    if not isinstance(at, list) or len(at) not in (1, 3, 5):
+        raise BadTerm("control.at must list 1, 3 or 5 addresses")
+    if (alone := part.get("alone", "leave")) not in ("leave", "stay"):
+        raise BadTerm(f"control.alone is {alone!r}, and must be leave or stay")
+    return {"at": [address_of(one) for one in at], "dir": part["dir"], "alone": alone}
+
+
 def station(told: Any, before: Station | None = None) -> Station:
     if not isinstance(told, Mapping):
         raise ValueError("an object was expected")
@@ -126,4 +150,4 @@
         terms, over_none(pairs, "ceilings.connect-timeout", 250_000),
         over_none(pairs, "ceilings.conn-idle", 15_000_000), told.get("resp"),
         address_of(admin) if (admin := told.get("admin_addr") or os.environ.get("GW_ADMIN_ADDR")) else None,
-        watched_of(told.get("watch"), pairs, terms), shape)
+        watched_of(told.get("watch"), pairs, terms), shape, controlled(told.get("control")))
--- a/orchidgap/parts.py
+++ b/orchidgap/parts.py
@@ -1,10 +1,13 @@
-"""Which protocol a configuration asks for."""
+"""Which protocol a configuration asks for, and whether control holds it."""
 
 from __future__ import annotations
 
+from typing import Any
+
 from orchidgap.http1 import Http1
 from orchidgap.net import start
-from orchidgap.net.node import Parts
+from orchidgap.net.node import Node, Parts
+from orchidgap.net.serve import Held
 
 
 def parts_of(station: start.Station) -> Parts:
@@ -17,3 +20,10 @@
         return Resp(station.resp, station.name, station.listen)
     except (ValueError, TypeError, OSError) as trouble:
         raise start.BadStart(f"resp: {trouble}") from None
+
+
+def held_of(*told: Any, **named: Any) -> tuple[Node, Held]:
+    """A node whose settings come from control; loaded only where a configuration has a part for it."""
+    from orchidgap.control.tenure import held
+
+    return held(*told, **named)
--- /dev/null
+++ b/orchidgap/state/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a process, on its disk."""
--- a/orchidgap/trial/callers.py
+++ b/orchidgap/trial/callers.py
@@ -110,8 +110,7 @@
             extra, lasts = reader.extra, reader.message.lasts
             self.callers.scene.referee.answer(ask, status, body, self.callers.loop.now)
             if status == 404:
-                why = f"{ask.id.decode()}: a class that the settings have is unknown"
-                self.callers.scene.referee.breach("lost", self.callers.loop.now, why)
+                self.callers.unknown(ask)
             if extra:
                 self.callers.scene.referee.more(ask, self.callers.loop.now)
             reader.reset()
@@ -226,6 +225,11 @@
         """Connections to this balancer that have not ended."""
         return [link for link in self.links[post] if link.conn.open]
 
+    def unknown(self, ask: Ask) -> None:
+        """Its balancer does not know its class."""
+        why = f"{ask.id.decode()}: a class that the settings have is unknown"
+        self.scene.referee.breach("lost", self.loop.now, why)
+
     # --- the tries
 
     def choose(self, but: str = "") -> str | None:
--- a/orchidgap/trial/plan.py
+++ b/orchidgap/trial/plan.py
@@ -189,7 +189,7 @@
     name: Name
     seconds: Annotated[float, Meta(gt=0.0, le=7_200.0)] = 30.0
     seed: Annotated[int, Meta(ge=0)] = 1
-    balancers: Annotated[int, Meta(ge=1, le=64)] = 2
+    balancers: Annotated[int, Meta(ge=1, le=400)] = 2
     caches: Annotated[int, Meta(ge=1, le=128)] = 6
     origins: Annotated[int, Meta(ge=1, le=4)] = 1
     rate: Positive = 150.0  # reqs a second, over all balancers
--- a/orchidgap/trial/scene.py
+++ b/orchidgap/trial/scene.py
@@ -70,14 +70,23 @@
         self("fault", what=self.faults[-1])
 
 
+def place(number: int) -> str:
+    """The last two parts of the address of one of many.
+
+    >>> place(0), place(249), place(250)
+    ('0.1', '0.250', '1.1')
+    """
+    return f"{number // 250}.{number % 250 + 1}"
+
+
 class Post:
     """A balancer's place: its program may end and start again there."""
 
     def __init__(self, scene: Scene, name: str, number: int, zone: int) -> None:
         self.scene, self.name, self.number, self.zone = scene, name, number, zone
-        self.address: Address = (f"127.1.0.{number + 1}", 7070)
-        self.agent: Address = (f"127.3.0.{number + 1}", 8500)
-        self.admin: Address = (f"127.4.0.{number + 1}", 7170)
+        self.address: Address = (f"127.1.{place(number)}", 7070)
+        self.agent: Address = (f"127.3.{place(number)}", 8500)
+        self.admin: Address = (f"127.4.{place(number)}", 7170)
         self.life, self.alive, self.ready_at, self.died_at = 0, False, 0, 0
         self.leaving = False  # it was told to end
         self.stood: list[tuple[int, int]] = []
@@ -264,19 +273,21 @@
         self.admin = (self.admin[0], 7170 + self.processes)
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(self.scene.told(self, known)))
-        command = ["-m", "orchidgap", "serve"]
-        if self.policy != "orchidgap":
-            command = ["-m", "orchidgap.trial.process", self.policy]
         passed = [self.passed.fileno()] if self.passed else []
         own = self.folder / f"{self.name}.tmp"
         own.mkdir(exist_ok=True)
         more = {"GW_PASSED_SOCKET": str(passed[0]), "TMPDIR": str(own)} if passed else {}
         with open(self.folder / f"{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, *command, f"--config={path}"], stderr=log, stdout=log, pass_fds=passed,
-                env=os.environ | more,
+                [sys.executable, *self.command(), f"--config={path}"], stderr=log, stdout=log,
+                pass_fds=passed, env=os.environ | more,
             )
 
+    def command(self) -> list[str]:
+        if self.policy != "orchidgap":
+            return ["-m", "orchidgap.trial.process", self.policy]
+        return ["-m", "orchidgap", "serve"]
+
     def hup(self, text: bytes) -> None:
         if self.alive and self.process:
             (self.folder / f"{self.name}.json").write_bytes(text)
@@ -384,18 +395,22 @@
         zones = plan.cache.zones
         for i in range(plan.balancers):
             name = f"b{i}"
-            self.posts[name] = (
-                RealPost(self, name, i, i % zones, policy, self.folder.name)
-                if self.folder
-                else VirtualPost(self, name, i, i % zones, decider)
-            )
+            self.posts[name] = self.post(name, i, i % zones, decider)
         self.set_up()
-        self.callers: Callers = RespCallers(self) if plan.dialect == "resp" else Callers(self)
+        self.callers = self.clients()
         if isinstance(self.ground, Pairs):
             self.ground.round_trip = lambda who, address: (
                 2 * self.way(self.zone_of(who), self.zone_at.get(address, 0))
             )
 
+    def post(self, name: str, number: int, zone: int, decider: Decider) -> VirtualPost | RealPost:
+        if self.folder:
+            return RealPost(self, name, number, zone, self.policy, self.folder.name)
+        return VirtualPost(self, name, number, zone, decider)
+
+    def clients(self) -> Callers:
+        return RespCallers(self) if self.plan.dialect == "resp" else Callers(self)
+
     def set_up(self) -> None:
         plan, hot = self.plan, range(min(self.plan.keys.count, self.plan.cache.keys * self.plan.caches))
         self.zone_at: dict[Address, int] = {}
