--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(PYTHON) -m orchidgap try
 
 test: .venv/dev
-	$(PYTHON) -m pytest -q -n auto
+	$(PYTHON) -m pytest -q -n auto --dist worksteal
 
 lint: .venv/dev
 	$(PYTHON) -m ruff check .
--- a/orchidgap/control/server.py
+++ b/orchidgap/control/server.py
@@ -149,9 +149,10 @@
             return done(None)
         row = Row(str(told["name"]), str(told["life"]), str(told["alone"]), int(told["runs"]),
                   int(told["promised"]), int(told["refused"]), str(told["why"])[:500], 0, 0)
-        grants = self.leases.hear(row, self.clock())
+        now = self.clock()
+        grants = self.leases.hear(row, now, int(told["heard"]))
         value, new = self.value, self.value["next"]
-        said = {"ballot": self.acceptor.kept.ballot, "grants": grants, "lease": self.lease,
+        said = {"ballot": self.acceptor.kept.ballot, "grants": grants, "at": now, "lease": self.lease,
                 "again": self.again(), "size": len(self.names), "n": value["n"], "id": value["id"],
                 "try": value["try"], "stay": {row.name: value["stay"].get(row.name)}, "next": None}
         if value["n"] > row.runs:
--- a/orchidgap/control/tenure.py
+++ b/orchidgap/control/tenure.py
@@ -71,6 +71,7 @@
         self.again = FIRST
         self.timer: Timer | None = None
         self.answers: list[Any] = []
+        self.last = [0] * len(self.calls)  # when each of them gave the last answer heard, by its clock
         self.learned = False  # what is chosen, by those of this call
         self.shown = Right.NONE
         self.unfit = 0       # the version that it cannot take
@@ -117,8 +118,8 @@
         tenure = self.tenure
         told = {"name": self.name, "life": self.life, "alone": tenure.alone, "runs": tenure.runs,
                 "promised": tenure.promised, "refused": tenure.refused, "why": tenure.why}
-        for calls in self.calls:
-            calls("/lease", told, partial(self.heard, self.turn))
+        for i, calls in enumerate(self.calls):
+            calls("/lease", told | {"heard": self.last[i]}, partial(self.heard, self.turn, i))
         self.next(max(FIRST, min(WITHIN, tenure.lease // 4)))  # where no answer comes
 
     def next(self, delay: int) -> None:
@@ -130,7 +131,9 @@
         spent = self.clock() - self.asked
         self.next(max(0, round(self.again * self.rng.uniform(0.8, 1.0)) - spent))
 
-    def heard(self, turn: int, said: Any) -> None:
+    def heard(self, turn: int, i: int, said: Any) -> None:
+        if said:
+            self.last[i] = said["at"]
         if turn != self.turn or self.ending:
             return
         if said and said["size"] != len(self.calls):
@@ -142,7 +145,10 @@
         value = granted or chosen(len(self.calls), told)
         if value is not None and (granted or not self.learned):
             self.learned = True
-            self.next_in_turn()
+            if granted:
+                self.next_in_turn()
+            else:
+                self.next(FIRST)
             self.learn(value, granted is not None)
         if granted:
             self.turn += 1  # what others say of the same call adds nothing
--- a/orchidgap/decisions/change.py
+++ b/orchidgap/decisions/change.py
@@ -114,10 +114,14 @@
     >>> leases.hear(Row("b", "1", "leave", 0, 0, 0, "", 0, 0), 2_000_000)
     True
     >>> value = proposed(EMPTY, "x", {})
+    >>> leases.hear(Row("b", "1", "leave", 0, 0, 0, "", 0, 0), 2_300_000)  # it did not hear that
+    False
     >>> leases.waits(value, 2_500_000), leases.waits(value, 3_010_001)
     ([('b', 510000)], [])
-    >>> leases.hear(Row("b", "1", "leave", 0, 1, 0, "", 0, 0), 2_600_000), leases.waits(value, 2_600_000)
-    (True, [])
+    >>> leases.hear(Row("b", "1", "leave", 0, 1, 0, "", 0, 0), 2_600_000, 2_000_000)
+    True
+    >>> leases.waits(value, 2_600_000)
+    []
     """
 
     def __init__(self, lease: int, now: int) -> None:
@@ -133,15 +137,18 @@
     def longest(self) -> int:
         return round(self.lease * (1 + DRIFT))
 
-    def hear(self, row: Row, now: int) -> bool:
-        """Whether a lease is granted."""
+    def hear(self, row: Row, now: int, answered: int = 0) -> bool:
+        """Whether a lease is granted. `answered` is when this was last asked by what the caller has heard:
+        one that
+        hears nothing uses no lease, and must not be waited for because it goes on asking."""
         key = row.name, row.life
         before = self.rows.pop(key, None)
+        hears = before is None or 0 <= now - answered <= 2 * self.lease
         while len(self.rows) >= MOST_ROWS and min(self.rows.values(), key=lambda one: one.until).until < now:
             del self.rows[min(self.rows, key=lambda one: self.rows[one].until)]
         if len(self.rows) >= MOST_ROWS:
             return False
-        grants = not self.locked or row.ready(*self.locked)
+        grants = hears and (not self.locked or row.ready(*self.locked))
         until = now + self.longest if grants else before.until if before else 0
         self.rows[key] = row._replace(heard=now, until=until)
         return grants
--- a/orchidgap/drill/defects.py
+++ b/orchidgap/drill/defects.py
@@ -88,15 +88,15 @@
 
 
 def dozes() -> None:
-    """It looks at the time only when the loop has time for that, so that a stop goes unseen."""
-    may, show = Keeper.may, Keeper.show
+    """It looks at its lease only when control has answered, so that a stop goes unseen."""
+    may, heard = Keeper.may, Keeper.heard
 
-    def look(self: Keeper) -> None:
-        show(self)
+    def look(self: Keeper, turn: int, i: int, said: Any) -> None:
+        heard(self, turn, i, said)
         self.cached = may(self)
 
     Keeper.cached = False
-    Keeper.show = look
+    Keeper.heard = look
     Keeper.may = lambda self: self.cached
 
 
--- a/orchidgap/drill/town.py
+++ b/orchidgap/drill/town.py
@@ -4,18 +4,20 @@
 from __future__ import annotations
 
 import ctypes
+import fcntl
 import json
 import os
 import shutil
 import signal
 import subprocess
 import sys
+import tempfile
 import time
 from collections.abc import Callable
 from contextlib import suppress
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 import orjson
 
@@ -26,9 +28,10 @@
 from orchidgap.net.connection import Address
 from orchidgap.net.places import text_of
 from orchidgap.trial.callers import Callers
+from orchidgap.trial.faces import Decider
 from orchidgap.trial.plan import Work, micros, millis
 from orchidgap.trial.referee import Ask, Op
-from orchidgap.trial.scene import Decider, RealPost, Scene, VirtualPost, place
+from orchidgap.trial.scene import RealPost, Scene, VirtualPost, place
 
 LOOK = 50_000            # between looks at what is seen
 WATCH = 50_000           # between questions to control whether a version is decided
@@ -36,6 +39,7 @@
 SLACK = 250_000
 DAMAGE = b"torn"
 TRIED = 1.2              # how long a proposer waits, of the time after which control gives up
+SLOTS = 64
 LIBC = ctypes.CDLL(None)
 OUTCOMES = {0: "decided", 2: "nowhere", 3: "unknown"}
 
@@ -45,6 +49,18 @@
     LIBC.prctl(1, signal.SIGKILL)
 
 
+def slot() -> tuple[IO[str], int]:
+    """Ports that no other drill on this machine uses, as long as the file is held."""
+    for number in range(SLOTS):
+        file = open(Path(tempfile.gettempdir()) / f"orchidgap-drill-{number}.lock", "w")  # noqa: SIM115
+        try:
+            fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            return file, number + 1  # a trial with real balancers has the ports themselves
+        except OSError:
+            file.close()
+    raise RuntimeError(f"{SLOTS} drills run already")
+
+
 class Witnesses(Callers):
     """Clients that ask, beside the usual, for the classes of the versions that may govern now."""
 
@@ -52,8 +68,9 @@
 
     def draw(self) -> Op:
         op = super().draw()
-        recent = self.scene.recent()
-        name = "base" if self.rng.random() < 0.3 else f"v{self.rng.choice(recent)}"
+        # what is long replaced is asked for too: whoever comes back may have it still
+        numbers = self.scene.recent() if self.rng.random() < 0.8 else list(self.scene.judge.fates)
+        name = "base" if self.rng.random() < 0.3 else f"v{self.rng.choice(numbers)}"
         op.work = next(work for work in self.works if work.name == name)
         op.counts = name == "base"
         return op
@@ -108,7 +125,7 @@
 
     def __init__(self, town: Town, number: int) -> None:
         self.town, self.number, self.name = town, number, f"k{number}"
-        self.address: Address = (f"127.5.0.{number + 1}", 7500)
+        self.address: Address = (f"127.5.0.{number + 1}", 7500 + town.ports)
         self.process: subprocess.Popen[bytes] | None = None
         self.new = True
         self.alive = False
@@ -131,6 +148,7 @@
 
     def __init__(self, drill: Drill, seed: int | None = None, defect: str = "") -> None:
         self.drill, self.defect = drill, defect
+        self.slot, self.ports = slot()
         self.telling = 0  # the version whose settings are written
         self.relays: dict[tuple[str, str], Relay] = {}
         self.count = 0    # of callers of control
@@ -185,7 +203,7 @@
     def way_to(self, who: str, post: ControlPost) -> Address:
         """Where this process finds that control process: a relay between the two."""
         if (who, post.name) not in self.relays:
-            at = (f"127.{100 + post.number}.{place(len(self.relays))}", 7500)
+            at = (f"127.{100 + post.number}.{place(len(self.relays))}", 7500 + self.ports)
             self.relays[who, post.name] = Relay(self.loop, at, post.address)
         return self.relays[who, post.name].at
 
@@ -255,7 +273,7 @@
             doc["settings"]["registry-mode"] = "poll"
         path = self.place / f"v{number}.doc"
         path.write_text(json.dumps(doc))
-        if not anew:
+        if not anew or self.judge.fates[number].outcome == "nowhere":
             self.judge.fates[number] = Fate(number, self.loop.now)
         asked = [post for post in self.controls if by in ("", post.name) or anew]
         at = ",".join(text_of(self.way_to("shell", post)) for post in asked)
@@ -300,6 +318,9 @@
         if name in self.posts:
             post = self.posts[name]
             post.stood.append((post.stood.pop()[0], self.loop.now + 1_000_000))
+            for ask in self.referee.asks.values():
+                if ask.balancer == name and not ask.status:  # it could not answer in time, and may say so now
+                    ask.due, ask.quiet_at = self.loop.now + millis(ask.op.work.timeout_ms), self.loop.now
 
     def do_wipe(self, name: str) -> None:
         shutil.rmtree(self.place / f"{name}.disk", ignore_errors=True)
@@ -470,25 +491,27 @@
             self.callers.end = self.start + micros(3_600)
             self.loop.soon(self.callers.arrive)
             self.loop.soon(self.watch)
-            for i, step in enumerate(self.drill.steps):
-                for _ in range(step.times):
-                    self.step(i, step.when, step.do, step.within_s)
+            steps = [(i, step) for i, step in enumerate(self.drill.steps) for _ in range(step.times)]
+            all(self.step(i, step.when, step.do, step.within_s) for i, step in steps)  # to the first not seen
             self.mend()
             wait = self.drill.control.give_up_ms / 1e3 * TRIED + 5
             self.until(lambda: not self.shells, wait, "no proposal open")
-            self.end()
+            self.settle()
+            self.judge.judge()
             return self.judge.verdict(self.judged())
         finally:
             self.close()
 
-    def step(self, number: int, when: str, do: str, within: float) -> None:
+    def step(self, number: int, when: str, do: str, within: float) -> bool:
+        """Whether it was seen, and what is to be done then is done."""
         since = self.loop.now
         if not self.until(lambda: self.seen(when, since), within, f"step {number}, {when}"):
-            return
+            return False
         for name in self.logs:
             self.log_from[name] = len(self.lines(name))
         for act in do.split(";"):
             self.act(act)
+        return True
 
     def until(self, seen: Callable[[], bool], within: float, what: str) -> bool:
         """Whether it was seen in time; if not, that is told, and the drill is broken."""
@@ -504,20 +527,23 @@
                 self.judge.breach("stuck", self.loop.now, f"not seen in {within:g} s: {what}")
                 return False
 
-    def end(self) -> None:
+    def settle(self) -> None:
         """All is healed: what counts has to be what all serve under, and what all callers are told."""
         numbers = [number for number in self.judge.fates if number]
+        if self.ask("/settle", {}) is None:
+            return self.judge.breach("stuck", self.loop.now, "control does not come back")
         for number in numbers:
             fate = self.judge.fates[number]
             said = self.ask("/change", {"id": f"v{number}"})
-            if said and said["state"] in ("decided", "nowhere"):
-                self.judge.told(fate, said["state"], said.get("n", 0), said.get("why", ""), self.loop.now)
+            state = said["state"] if said else "nothing"
+            if state in ("decided", "nowhere"):
+                self.judge.told(fate, state, said.get("n", 0), said.get("why", ""), self.loop.now)
+            elif state == "unknown" and fate.outcome != "decided":
+                fate.outcome = "nowhere"  # nobody took it, and nobody was told otherwise
             else:
-                # one that nobody could be told of was never proposed, and stays so
-                fate.outcome = "nowhere" if said and said["state"] == "unknown" else fate.outcome
-                if fate.outcome == "decided" or said is None or said["state"] not in ("unknown",):
-                    self.judge.breach("untrue" if said else "stuck", self.loop.now,
-                                      f"v{number}: {said and said['state']}, after {fate.outcome}")
+                rule = "stuck" if state in ("nothing", "proposed") else "untrue"
+                was = fate.outcome or "nothing"
+                self.judge.breach(rule, self.loop.now, f"v{number}: {state}, after {was}")
         best = max(self.judge.fates.values(), key=lambda fate: fate.n if fate.outcome == "decided" else -1)
         since = self.loop.now
         for name in [name for name, post in self.posts.items() if post.alive]:
@@ -529,14 +555,13 @@
         if self.drill.outcomes and found != self.drill.outcomes:
             whys = "; ".join(self.judge.fates[number].why for number in numbers)
             self.judge.breach("stuck", self.loop.now, f"outcomes {', '.join(found)}: {whys}")
-        self.judge.judge()
 
     def ask(self, path: str, told: Any) -> Any:
         """Of any control process, now that all are there."""
-        for _ in range(20):
+        for _ in range(10):
             for post in self.controls:
                 heard: list[Any] = []
-                Calls(self.loop, post.address, 2_000_000)(path, told, heard.append)
+                Calls(self.loop, post.address, 500_000)(path, told, heard.append)
                 while not heard:
                     self.loop.turn(10_000)
                 if heard[0] is not None:
@@ -563,3 +588,8 @@
         for relay in self.relays.values():
             relay.close()
         super().close()
+        self.slot.close()
+
+    def tails(self) -> dict[str, list[str]]:
+        """The last events of each process's log, for whoever has to explain a breach."""
+        return {name: events[-6:] for name, (_, events) in self.logs.items()}
--- a/orchidgap/trial/baselines.py
+++ b/orchidgap/trial/baselines.py
@@ -21,7 +21,7 @@
 from orchidgap.decisions.terms import ServiceTerms
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Decider, Scene
+    from orchidgap.trial.faces import Decider, Scene
 
 POINTS = 64  # virtual nodes of a host on the ring
 BOUND = 1.25  # of the mean of what is out, that a bounded ring lets a host have
@@ -199,7 +199,8 @@
             job.cost / (store.speed * store.warmth()) for job in store.waiting
         )
         frozen = max(0, store.frozen_until - self.now)
-        return frozen + left / store.model.cores + cost * store.slow / (store.speed * store.warmth())
+        alone = cost * store.slow / (store.speed * store.warmth())
+        return float(frozen + left / store.model.cores + alone)
 
     def go(self, req: Req) -> None:
         cost = 40_000
--- a/orchidgap/trial/callers.py
+++ b/orchidgap/trial/callers.py
@@ -14,7 +14,7 @@
 from orchidgap.trial.referee import SMALL, Ask, Op
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 LATE_BY = 3_000_000  # after its client timeout an answer is waited for no longer
 OWED = 3_000_000  # what a bad client is owed an error or a close within
--- a/orchidgap/trial/listing.py
+++ b/orchidgap/trial/listing.py
@@ -13,7 +13,7 @@
 from orchidgap.trial.plan import micros
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 MOST_CALLS = 40  # a second, from one balancer: news come faster than that nowhere
 PRESUMED = 6_000_000  # what there is to tell counts as told this much later, to one that does not ask
--- a/orchidgap/trial/operators.py
+++ b/orchidgap/trial/operators.py
@@ -13,7 +13,7 @@
 from orchidgap.trial.plan import OPS_KINDS, Trouble, micros
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 PROBE = 100_000          # how often the front asks each balancer whether it serves
 STILL = 200_000          # after the first no, new connections still come for so long
--- a/orchidgap/trial/resp.py
+++ b/orchidgap/trial/resp.py
@@ -23,7 +23,7 @@
 from orchidgap.trial.stores import Job, Store
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 SPACE = 1 << 14
 slot_of = lru_cache(maxsize=1 << 17)(slot_at)
--- a/orchidgap/trial/scene.py
+++ b/orchidgap/trial/scene.py
@@ -34,6 +34,7 @@
 from orchidgap.trial.baselines import even
 from orchidgap.trial.callers import Callers
 from orchidgap.trial.fabric import Face, Pairs, Share, Shared, Wires, cpu_of
+from orchidgap.trial.faces import Decider
 from orchidgap.trial.listing import Agent, Listing
 from orchidgap.trial.operators import BINDS_AFTER, Front
 from orchidgap.trial.plan import Plan, Work, micros, millis
@@ -46,9 +47,6 @@
 KEPT_LINES = 20_000
 EFFECTS = {"replayable": "retryable", "uniqued": "dedup", "non-replayable": "fragile"}
 
-Decider = Callable[..., Any]  # (terms, port, seed, now): what decides, with the face of rules.Balancer
-
-
 class Lines(Log):
     """The log of a balancer in virtual time, kept in memory."""
 
@@ -84,8 +82,8 @@
 
     def __init__(self, scene: Scene, name: str, number: int, zone: int) -> None:
         self.scene, self.name, self.number, self.zone = scene, name, number, zone
-        self.address: Address = (f"127.1.{place(number)}", 7070)
-        self.agent: Address = (f"127.3.{place(number)}", 8500)
+        self.address: Address = (f"127.1.{place(number)}", 7070 + scene.ports)
+        self.agent: Address = (f"127.3.{place(number)}", 8500 + scene.ports)
         self.admin: Address = (f"127.4.{place(number)}", 7170)
         self.life, self.alive, self.ready_at, self.died_at = 0, False, 0, 0
         self.leaving = False  # it was told to end
@@ -363,6 +361,8 @@
 class Scene:
     """All that a trial is made of; `play` runs it to its end."""
 
+    ports = 0  # added to all ports, where several play beside each other on one machine
+
     def __init__(
         self,
         plan: Plan,
@@ -415,9 +415,9 @@
         plan, hot = self.plan, range(min(self.plan.keys.count, self.plan.cache.keys * self.plan.caches))
         self.zone_at: dict[Address, int] = {}
         for i in range(plan.caches):
-            self.add_store(f"c{i:02d}", (f"127.2.0.{i + 1}", 7071), False, i % plan.cache.zones)
+            self.add_store(f"c{i:02d}", (f"127.2.0.{i + 1}", 7071 + self.ports), False, i % plan.cache.zones)
         for i in range(plan.origins if plan.dialect == "http" else 0):
-            self.add_store(f"o{i}", (f"127.2.1.{i + 1}", 7071), True, i % plan.cache.zones)
+            self.add_store(f"o{i}", (f"127.2.1.{i + 1}", 7071 + self.ports), True, i % plan.cache.zones)
         ring = [store for store in self.stores.values() if not store.is_origin]
         self.cluster.share([store.id for store in ring])
         if plan.dialect == "resp":
--- a/orchidgap/trial/stores.py
+++ b/orchidgap/trial/stores.py
@@ -13,7 +13,7 @@
 from orchidgap.trial.referee import SMALL, Arrival, mark_of
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 GLANCE = 400  # microseconds of work that a miss, or a repeat that is dropped, takes
 SWEEP = 1_000_000
--- a/orchidgap/trial/troubles.py
+++ b/orchidgap/trial/troubles.py
@@ -13,7 +13,7 @@
 from orchidgap.trial.stores import Store
 
 if TYPE_CHECKING:
-    from orchidgap.trial.scene import Scene
+    from orchidgap.trial.faces import Scene
 
 LINGER = 2.5  # seconds that a draining host goes on with what it has, where the plan does not say
 
--- /dev/null
+++ b/tests/drill/test_drills.py
@@ -0,0 +1,41 @@
+"""Real processes with faults between them: what is shipped is kept, and each planted defect is caught by its rule."""
+
+from pathlib import Path
+
+import pytest
+
+from orchidgap.drill.command import play
+from orchidgap.drill.defects import DEFECTS
+from orchidgap.drill.plan import read
+
+DRILLS = Path(__file__).parents[2] / "drills"
+BY_HAND = {"change-forty"}  # longer than CI has time for
+SHIPPED = sorted(path.stem for path in DRILLS.glob("*.toml") if path.stem not in BY_HAND)
+CAUGHT = {
+    "skips": ("change-beside", "old stuck"),
+    "early": ("change-killed-before-promise", "old"),
+    "forgets": ("change-stay-promised", "old stuck"),
+    "twice": ("change-beside", "late"),
+    "hasty": ("change-disk-full", "undecided"),
+    "leaseless": ("change-one-way", "old stuck"),
+    "dozes": ("change-stopped", "old"),
+    "impatient": ("change-stay-cut", "old stuck"),
+    "amnesic": ("change-blackout", "stuck untrue"),
+}
+
+
+@pytest.mark.parametrize("name", SHIPPED)
+def test_a_shipped_drill_is_kept(name):
+    drill = read(str(DRILLS / f"{name}.toml"))
+    verdict, town = play(drill)
+    assert drill.plan.name == name
+    assert verdict["verdict"] == "kept", (town.referee.breaches[:5], town.tails())
+    assert verdict["decided"] > 0
+
+
+@pytest.mark.parametrize("defect", DEFECTS)
+def test_a_planted_defect_is_caught(defect):
+    name, rules = CAUGHT[defect]
+    verdict, _ = play(read(str(DRILLS / f"{name}.toml")), defect=defect)
+    assert verdict["verdict"] == "broken"
+    assert any(verdict[rule] for rule in rules.split()), verdict
