--- a/orchidgap/control/server.py
+++ b/orchidgap/control/server.py
@@ -83,6 +83,7 @@
         self.leases = Leases(lease, clock())
         self.acceptor: Acceptor | None = None  # none while it has lost its disk and is not back yet
         self.highest = 0            # count of any ballot seen
+        self.ballot = NONE          # of the round of its own that ended last
         self.queue: deque[tuple[Callable[[Value], Value], Heard]] = deque()
         self.running = False        # a round of this process
         self.disk_fails = False
@@ -249,7 +250,8 @@
         lost = self.acceptor is None
         Attempt(self, Round(ballot, len(self.names), self.queue[0][0], self.name if lost else ""), tries)
 
-    def round_over(self, value: Value | None, tries: int) -> None:
+    def round_over(self, value: Value | None, tries: int, ballot: Ballot) -> None:
+        self.ballot = ballot
         if value is None and tries > 1:
             # at a random time, as another proposer would
             pause = self.rng.randrange(10_000, 40_000 << (TRIES - tries))
@@ -291,7 +293,7 @@
         def back(value: Value | None) -> None:
             if value is None or self.acceptor:
                 return
-            ballot = (self.highest, self.name)
+            ballot = self.ballot  # the round's own: under a higher one something else may be chosen
             try:
                 self.write(Kept(ballot, ballot, value))
             except OSError:
@@ -431,7 +433,7 @@
 
     def end(self, value: Value | None, tries: int = 0) -> None:
         self.over = True
-        self.control.round_over(value, tries or self.tries)
+        self.control.round_over(value, tries or self.tries, self.round.ballot)
 
 
 def run(path: str | None, new: bool, make_files: Callable[[Path], Files] = Files,
--- a/orchidgap/control/tenure.py
+++ b/orchidgap/control/tenure.py
@@ -12,8 +12,8 @@
 
 from orchidgap.control.calls import Calls
 from orchidgap.control.server import boot_clock, fit
-from orchidgap.decisions.change import STAY, Right, Tenure
-from orchidgap.decisions.register import Ballot, Value, chosen, majority
+from orchidgap.decisions.change import STAY, Right, Tenure, answered
+from orchidgap.decisions.register import Ballot, Value, majority
 from orchidgap.net import start
 from orchidgap.net.doorway import Answered
 from orchidgap.net.flow import Upload
@@ -140,16 +140,15 @@
             self.log("control unlike", why=f"it has {said['size']} processes, this file {len(self.calls)}")
             said = None
         self.answers.append(said)
-        told = [(self.ballot(one), one) for one in self.answers if one]
-        granted = chosen(len(self.calls), [pair for pair in told if pair[1]["grants"]])
-        value = granted or chosen(len(self.calls), told)
+        told = [(self.ballot(one), one, one["grants"]) for one in self.answers if one]
+        value, granted = answered(len(self.calls), told)
         if value is not None and (granted or not self.learned):
             self.learned = True
             if granted:
                 self.next_in_turn()
             else:
                 self.next(FIRST)
-            self.learn(value, granted is not None)
+            self.learn(value, granted)
         if granted:
             self.turn += 1  # what others say of the same call adds nothing
         elif len(self.answers) == len(self.calls) and not self.learned:
--- a/orchidgap/decisions/change.py
+++ b/orchidgap/decisions/change.py
@@ -15,10 +15,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import Enum
 from typing import Any, NamedTuple
 
-from orchidgap.decisions.register import Value
+from orchidgap.decisions.register import Ballot, Value, chosen
 
 DRIFT = 0.01      # how much faster or slower than true time a clock may run
 PAST = 64         # outcomes that are kept
@@ -193,6 +194,24 @@
         return late
 
 
+def answered(count: int, answers: Iterable[tuple[Ballot, Value, bool]]) -> tuple[Value | None, bool]:
+    """What a balancer learns of so many control processes' answers, each with its ballot, value and whether
+    it grants
+    a lease: the value that is chosen, if that can be told, and whether a majority that told it grants a
+    lease.
+
+    >>> answered(3, [((1, "a"), {"n": 1}, False), ((1, "a"), {"n": 1}, True)])
+    ({'n': 1}, False)
+    >>> answered(3, [((1, "a"), {"n": 1}, True), ((2, "a"), {"n": 2}, True)])
+    (None, False)
+    """
+    all_ = list(answers)
+    granted = chosen(count, [(ballot, value) for ballot, value, grants in all_ if grants])
+    if granted is not None:
+        return granted, True
+    return chosen(count, [(ballot, value) for ballot, value, _ in all_]), False
+
+
 class Right(Enum):
     """What a balancer may do now."""
 
