Calls to control back off: 200 balancers that started together kept it too busy to answer

Cause: seen in the first drill with 200 processes: no lease was had in 30 s, as each balancer without an answer asked anew every 100 ms, 6000 calls a second (control/tenure.py, call). Ruled out: the drill's relays (with 40 balancers it was up in 1.2 s).

--- a/orchidgap/control/tenure.py
+++ b/orchidgap/control/tenure.py
@@ -24,6 +24,7 @@
 
 WITHIN = 500_000       # for control to answer a call
 FIRST = 100_000        # between calls until control has said how often
+LONGEST = 2_000_000    # of the back-off
 # told to clients that are denied because there is no lease; half as much more or less by chance
 COMEBACK = 1_000_000
 PARTING = 300_000      # for control to hear that this process ends
@@ -72,6 +73,7 @@
         self.timer: Timer | None = None
         self.answers: list[Any] = []
         self.last = [0] * len(self.calls)  # when each of them gave the last answer heard, by its clock
+        self.failures = 0     # calls in a row that taught nothing
         self.learned = False  # what is chosen, by those of this call
         self.shown = Right.NONE
         self.unfit = 0       # the version that it cannot take
@@ -120,13 +122,20 @@
                 "promised": tenure.promised, "refused": tenure.refused, "why": tenure.why}
         for i, calls in enumerate(self.calls):
             calls("/lease", told | {"heard": self.last[i]}, partial(self.heard, self.turn, i))
-        self.next(max(FIRST, min(WITHIN, tenure.lease // 4)))  # where no answer comes
+        self.next(self.back_off())  # where no answer comes
 
     def next(self, delay: int) -> None:
         if self.timer:
             self.timer.cancel()
         self.timer = self.loop.later(delay, self.call)
 
+    def back_off(self) -> int:
+        """After calls that taught nothing: rarer each time and by chance, or hundreds that start together
+        would
+        keep control too busy to answer any of them."""
+        self.failures += 1
+        return round(min(LONGEST, WITHIN << min(self.failures - 1, 4)) * self.rng.uniform(0.75, 1.25))
+
     def next_in_turn(self) -> None:
         spent = self.clock() - self.asked
         self.next(max(0, round(self.again * self.rng.uniform(0.8, 1.0)) - spent))
@@ -143,7 +152,7 @@
         told = [(self.ballot(one), one, one["grants"]) for one in self.answers if one]
         value, granted = answered(len(self.calls), told)
         if value is not None and (granted or not self.learned):
-            self.learned = True
+            self.learned, self.failures = True, 0
             if granted:
                 self.next_in_turn()
             else:
@@ -154,7 +163,8 @@
         elif len(self.answers) == len(self.calls) and not self.learned:
             if len(told) >= majority(len(self.calls)):
                 self.one("/settle", {})  # they differ: one of them has to find out what is chosen
-            self.next(FIRST)
+                self.failures = 0
+            self.next(FIRST << min(self.failures, 4))
         self.show()
 
     @staticmethod
--- a/orchidgap/drill/relay.py
+++ b/orchidgap/drill/relay.py
@@ -26,6 +26,7 @@
 
     def received(self, view: memoryview) -> None:
         relay, data = self.pair.relay, bytes(view)
+        relay.moved += len(data)
         if relay.stalled(self.to_far) or self.held:
             self.held.append(data)
             if sum(map(len, self.held)) > HELD:
@@ -77,6 +78,7 @@
     def __init__(self, loop: Loop, at: Address, far: Address) -> None:
         self.loop, self.at, self.far = loop, at, far
         self.pairs: dict[Pair, None] = {}
+        self.moved = 0      # bytes, both ways
         self.delay = 0      # microseconds each way
         self.cut = False    # connections are refused, and those that stand are reset
         self.there = self.back = False  # what goes that way stalls, as all packets were lost
