A proposer's call that comes late brings back nothing that its caller was told holds nowhere

Change: a call counts as long as nothing else was asked since its caller knew how many there were (decisions/change.py, asked); a no to one under way uses that number up. strike names the life it strikes off, for the same reason.

--- a/orchidgap/control/client.py
+++ b/orchidgap/control/client.py
@@ -27,6 +27,7 @@
     def __init__(self, addresses: list[Address]) -> None:
         self.loop = Loop()
         self.calls = [Calls(self.loop, address, WITHIN) for address in addresses]
+        self.lost = False  # a call had no answer, and may have been heard
 
     def ask(self, calls: Calls, path: str, told: Any) -> Any:
         """The answer, or None."""
@@ -42,6 +43,7 @@
             said = self.ask(calls, path, told)
             if said is not None:
                 return said
+            self.lost = True
             self.calls.append(self.calls.pop(0))
         return None
 
@@ -95,34 +97,49 @@
 
 def propose(shell: Shell, id: str, doc: Any, again: bool, wait: float, as_json: bool) -> int:
     until = time.monotonic() + wait
-    said = shell.any("/propose", {"id": id, "doc": doc, "again": again})
-    shown = ""
+    after, shown = -1, ""
+    said = shell.any("/change", {"id": id})
     while True:
         state = said["state"] if said else "unknown"
-        if state == "decided":
+        # whether this may be about this call, and not an earlier one of the same name
+        mine = after >= 0 and (bool(shown) or shell.lost)
+        if state == "decided" and (mine or not again):
             since = f"; {said['now']} counts now, --again decides it anew" if said["now"] != said["n"] else ""
             show({"id": id, **said}, as_json, f"{id} decided as version {said['n']}, in force everywhere "
                                               f"within {said['lease'] / 1e6:g} s{since}")
             return DECIDED
-        if state in ("nowhere", "busy"):
+        if state == "unfit" or state == "busy" and after >= 0 or state == "nowhere" and mine:
             show({"id": id, **said}, as_json, f"{id} holds nowhere: {said['why']}")
             return NOWHERE
-        if said and state == "proposed" and not as_json:
+        if state == "proposed":
+            after = said["tries"]
             now = f"{id} proposed as version {said['n']}; waits for {waited_for(said) or 'the decision'}"
-            if now != shown:
-                shown = now
+            if now != shown and not as_json:
                 print(now, flush=True)
+            shown = now
         if time.monotonic() > until:
             return unknown(as_json)
-        time.sleep(EACH)
-        ask = said is not None and state == "proposed"
-        # before it is known to be proposed, the same call again is the same change
-        said = shell.any("/change", {"id": id}) if ask else shell.any(
-            "/propose", {"id": id, "doc": doc, "again": again})
+        if shown:
+            time.sleep(EACH)
+            said = shell.any("/change", {"id": id})
+        elif said is not None or after < 0:
+            if said is None:
+                time.sleep(EACH)
+                said = shell.any("/change", {"id": id})
+            if said is not None:
+                after, shell.lost = said["tries"], False
+                said = shell.any("/propose", {"id": id, "doc": doc, "again": again, "after": after})
+        else:  # not known whether it was heard: the same call, which counts once
+            time.sleep(EACH)
+            said = shell.any("/propose", {"id": id, "doc": doc, "again": again, "after": after})
 
 
 def strike(shell: Shell, name: str, as_json: bool) -> int:
-    said = shell.any("/strike", {"name": name})
+    there = shell.any("/status", {})
+    if there is None:
+        return unknown(as_json)
+    life = there["stay"].get(name)
+    said = shell.any("/strike", {"name": name, "life": life}) if life else {"struck": False}
     if said is None:
         return unknown(as_json)
     show(said, as_json, f"{name} struck off: no change waits for it. Make sure that it serves no client: it "
--- a/orchidgap/control/server.py
+++ b/orchidgap/control/server.py
@@ -345,22 +345,16 @@
         done({"why": fit(told["doc"])})
 
     def on_propose(self, told: dict[str, Any], done: Heard) -> None:
-        id, doc, again = str(told["id"]), told["doc"], bool(told.get("again"))
+        id, doc, again, after = str(told["id"]), told["doc"], bool(told["again"]), int(told["after"])
         if why := fit(doc):
-            return done({"state": "nowhere", "why": why})
-
-        def make(value: Value) -> Value:
-            known = change.outcome(value, id)
-            if known and known[2] == "decided" and not again:
-                return value
-            return change.proposed(value, id, doc) or value
+            return done({"state": "unfit", "why": why})
 
         def made(value: Value | None) -> None:
             if value and value["next"] and value["next"]["id"] == id:
                 self.own = value["next"]["try"]
             done(value and self.told(value, id))
 
-        self.cas(make, made)
+        self.cas(lambda value: change.asked(value, id, doc, again, after), made)
 
     def on_change(self, told: dict[str, Any], done: Heard) -> None:
         """What became of one: how far it is by what is known here, its end only from a majority."""
@@ -370,6 +364,9 @@
         self.cas(lambda value: value, lambda value: done(value and self.told(value, id)))
 
     def told(self, value: Value, id: str) -> dict[str, Any]:
+        return self.state(value, id) | {"tries": value["tries"]}
+
+    def state(self, value: Value, id: str) -> dict[str, Any]:
         new, known = value["next"], change.outcome(value, id)
         if new and new["id"] == id:
             return {"state": "proposed", "n": new["n"], "try": new["try"], **self.waits()}
@@ -382,10 +379,10 @@
         return {"state": "unknown", "why": "no such change"}
 
     def on_strike(self, told: dict[str, Any], done: Heard) -> None:
-        name = str(told["name"])
-        known = name in self.value["stay"]
-        self.cas(lambda value: change.struck(value, name) or value,
-                 lambda value: done(value and {"struck": known and name not in value["stay"]}))
+        """Of one life only: a call that comes late must not strike off who has come back."""
+        name, life = str(told["name"]), str(told["life"])
+        self.cas(lambda value: change.struck(value, name, life) or value,
+                 lambda value: done(value and {"struck": value["stay"].get(name) != life}))
 
     def on_status(self, told: dict[str, Any], done: Heard) -> None:
         now, value, new = self.clock(), self.value, self.value["next"]
--- a/orchidgap/decisions/change.py
+++ b/orchidgap/decisions/change.py
@@ -48,6 +48,24 @@
     return value | {"tries": tries, "next": {"id": id, "doc": doc, "try": tries, "n": value["n"] + 1}}
 
 
+def asked(value: Value, id: str, doc: Value, again: bool, after: int) -> Value:
+    """A proposer's call, which counts as long as nothing else was asked since its caller knew of `after`
+    tries: one
+    that comes late or twice must not bring back what its caller was told holds nowhere.
+
+    >>> one = asked(EMPTY, "x", {}, False, 0)
+    >>> one["next"]["id"], asked(one, "y", {}, False, 1)["tries"]
+    ('x', 2)
+    >>> asked(dropped(one, 1, "b2: no"), "x", {}, False, 0)["next"]
+    """
+    known = outcome(value, id)
+    if known and known[2] == "decided" and not again or value["tries"] != after:
+        return value
+    if value["next"] is not None:  # this call is answered with a no for good
+        return value if value["next"]["id"] == id else value | {"tries": after + 1}
+    return proposed(value, id, doc) or value
+
+
 def ended(value: Value, *row: Any) -> Value:
     return {"next": None, "past": [*value["past"], list(row)][-PAST:]}
 
@@ -81,9 +99,9 @@
     return None if value["stay"].get(name) == life else value | {"stay": value["stay"] | {name: life}}
 
 
-def struck(value: Value, name: str, life: str = "") -> Value | None:
-    """By an operator's word, or by its own when it ends (then only that life of it)."""
-    if value["stay"].get(name, "") != (life or value["stay"].get(name)):
+def struck(value: Value, name: str, life: str) -> Value | None:
+    """By an operator's word, or by its own when it ends; another life of it stays."""
+    if value["stay"].get(name) != life:
         return None
     return value | {"stay": {other: one for other, one in value["stay"].items() if other != name}}
 
--- a/orchidgap/drill/town.py
+++ b/orchidgap/drill/town.py
@@ -158,6 +158,8 @@
         self.count = 0    # of callers of control
         self.latest = 0
         super().__init__(drill.plan, seed, real=True)
+        self.broke = self.referee.broke
+        setattr(self.referee, "broke", self.broke_off)  # noqa: B010
         assert self.folder
         self.place = Path(self.folder.name)
         self.controls = [ControlPost(self, number) for number in range(drill.control.count)]
@@ -195,6 +197,15 @@
         decided = [number for number, fate in self.judge.fates.items() if fate.outcome == "decided"]
         return sorted({*list(self.judge.fates)[-2:], *decided[-2:]})
 
+    def broke_off(self, ask: Ask, at: int) -> None:
+        """A connection ended unanswered. That its process died may be seen a moment later."""
+        def judged() -> None:
+            self.look()
+            if not ask.left and self.lives(ask.balancer, ask.life):
+                self.broke(ask, at)
+
+        self.loop.later(SLACK, judged)
+
     # --- processes
 
     def command(self, kind: str) -> list[str]:
@@ -505,6 +516,7 @@
         began = time.monotonic()
         try:
             for control in self.controls:
+                self.way_to("shell", control)  # there to be cut before the first call
                 control.begin()
             _, entries = self.listing.since(None, 1)
             for post in self.posts.values():
@@ -591,6 +603,9 @@
         numbers = [number for number in self.judge.fates if number]
         if self.controls and self.ask("/settle", {}) is None:
             return self.judge.breach("stuck", self.loop.now, "control does not come back")
+        if self.controls:
+            wait = self.drill.control.give_up_ms / 1e3 * TRIED + 5
+            self.until(lambda: not (self.ask("/status", {}) or {"next": 1})["next"], wait, "none proposed")
         for number in numbers:
             fate = self.judge.fates[number]
             if not self.controls:
--- a/tests/control/test_control.py
+++ b/tests/control/test_control.py
@@ -71,17 +71,21 @@
 def test_two_proposers_at_once_make_one_change_and_one_busy(town):
     heard = {}
     for name, id in (("k0", "x"), ("k1", "y")):
-        town.all[name].server.acts["/propose"]({"id": id, "doc": DOC}, lambda said, id=id: heard.update({id: said}))
+        town.all[name].server.acts["/propose"]({"id": id, "doc": DOC, "again": False, "after": 0}, lambda said, id=id: heard.update({id: said}))
     town.run(4_000_000)
     assert sorted(said["state"] for said in heard.values()) == ["busy", "proposed"]
     won = next(id for id, said in heard.items() if said["state"] == "proposed")
     town.run(3 * LEASE)
     assert town.ask("k2", "/change", {"id": won})["state"] == "decided"
     assert {control.value["n"] for control in town.all.values()} == {1}
+    # the loser's call comes once more: its caller was told that it holds nowhere
+    lost = "y" if won == "x" else "x"
+    assert town.ask("k2", "/propose", {"id": lost, "doc": DOC, "again": False, "after": 0})["state"] == "unknown"
+    assert town.all["k2"].value["next"] is None
 
 
 def test_an_acceptor_without_its_disk_comes_back_under_the_ballot_of_its_round(town):
-    assert town.ask("k0", "/propose", {"id": "x", "doc": DOC})["state"] == "proposed"
+    assert town.ask("k0", "/propose", {"id": "x", "doc": DOC, "again": False, "after": 0})["state"] == "proposed"
     town.run(3 * LEASE)
     lost = town.all["k0"]
     lost.acceptor, lost.highest = None, 0
@@ -101,8 +105,8 @@
 
 def test_a_minority_decides_nothing_and_what_was_decided_without_it_reaches_it(town):
     town.cut = {"k0"}
-    assert town.ask("k0", "/propose", {"id": "x", "doc": DOC}, 20_000_000) is None
-    assert town.ask("k1", "/propose", {"id": "y", "doc": DOC})["state"] == "proposed"
+    assert town.ask("k0", "/propose", {"id": "x", "doc": DOC, "again": False, "after": 0}, 20_000_000) is None
+    assert town.ask("k1", "/propose", {"id": "y", "doc": DOC, "again": False, "after": 0})["state"] == "proposed"
     town.run(3 * LEASE)
     town.cut = set()
     assert town.ask("k0", "/change", {"id": "y"})["state"] == "decided"
@@ -271,7 +275,7 @@
     "d": lambda value, number: change.decided(value, value["tries"] - number),
     "x": lambda value, number: change.dropped(value, value["tries"] - number, "no"),
     "j": lambda value, number: change.joined(value, f"b{number}", "1"),
-    "s": lambda value, number: change.struck(value, f"b{number}"),
+    "s": lambda value, number: change.struck(value, f"b{number}", "1"),
 }
 
 
