--- a/orchidgap/control/client.py
+++ b/orchidgap/control/client.py
@@ -103,7 +103,7 @@
         state = said["state"] if said else "unknown"
         # whether this may be about this call, and not an earlier one of the same name
         mine = after >= 0 and (bool(shown) or shell.lost)
-        if state == "decided" and (mine or not again):
+        if state == "decided" and (mine or not again or said["now"] == said["n"]):
             since = f"; {said['now']} counts now, --again decides it anew" if said["now"] != said["n"] else ""
             show({"id": id, **said}, as_json, f"{id} decided as version {said['n']}, in force everywhere "
                                               f"within {said['lease'] / 1e6:g} s{since}")
@@ -113,10 +113,11 @@
             return NOWHERE
         if state == "proposed":
             after = said["tries"]
-            now = f"{id} proposed as version {said['n']}; waits for {waited_for(said) or 'the decision'}"
-            if now != shown and not as_json:
-                print(now, flush=True)
-            shown = now
+            names = ", ".join(name for name, _ in said["late"]) or "the decision"
+            if names != shown and not as_json:
+                now = waited_for(said) or names
+                print(f"{id} proposed as version {said['n']}; waits for {now}", flush=True)
+            shown = names
         if time.monotonic() > until:
             return unknown(as_json)
         if shown:
--- a/orchidgap/drill/town.py
+++ b/orchidgap/drill/town.py
@@ -531,6 +531,9 @@
             steps = [(i, step) for i, step in enumerate(self.drill.steps) for _ in range(step.times)]
             all(self.step(i, step.when, step.do, step.within_s) for i, step in steps)  # to the first not seen
             self.mend()
+            leaving = [post for post in self.posts.values() if post.leaving]
+            self.until(lambda: not any(post.alive for post in leaving), 6, "all ended that were told to")
+            self.mend()  # they start again
             wait = self.drill.control.give_up_ms / 1e3 * TRIED + 5
             self.until(lambda: not self.shells, wait, "no proposal open")
             self.settle()
