--- a/orchidgap/control/server.py
+++ b/orchidgap/control/server.py
@@ -148,7 +148,7 @@
     def on_lease(self, told: dict[str, Any], done: Heard) -> None:
         if self.acceptor is None:
             return done(None)
-        row = Row(str(told["name"]), str(told["life"]), str(told["alone"]), int(told["runs"]),
+        row = Row(str(told["name"])[:100], str(told["life"])[:40], str(told["alone"])[:5], int(told["runs"]),
                   int(told["promised"]), int(told["refused"]), str(told["why"])[:500], 0, 0)
         now = self.clock()
         grants = self.leases.hear(row, now, int(told["heard"]))
