--- a/tests/resp/test_client.py
+++ b/tests/resp/test_client.py
@@ -1,6 +1,7 @@
 """A well-known client library does its usual commands against the program as a process, plain and as a cluster."""
 
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -24,7 +25,8 @@
 
     def __init__(self):
         self.ground = Wires()
-        self.servers = [Server(self, number) for number in (201, 202, 203)]
+        first = 101 + 3 * int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])  # several runs beside each other
+        self.servers = [Server(self, number) for number in range(first, first + 3)]
         self.running = True
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
