Read again: fields and parameters of control and drills that nothing used leave

Town.count, Town.troubles, a third word of do_propose, and a make= that no caller gave are gone; four docstrings torn by wrapping are whole. Behaviour is the same.

--- a/orchidgap/control/server.py
+++ b/orchidgap/control/server.py
@@ -288,8 +288,7 @@
 
     def come_back(self) -> None:
         """Its disk was lost, and with it what it had promised: a round of all others, under a ballot higher
-        than any
-        that it may have had a part in, and only what that finds is taken up."""
+        than any that it may have had a part in, and only what that finds is taken up."""
         def back(value: Value | None) -> None:
             if value is None or self.acceptor:
                 return
@@ -433,8 +432,7 @@
         self.control.round_over(value, tries or self.tries, self.round.ballot)
 
 
-def run(path: str | None, new: bool, make_files: Callable[[Path], Files] = Files,
-        make: Callable[..., Control] = Control) -> None:
+def run(path: str | None, new: bool, make_files: Callable[[Path], Files] = Files) -> None:
     """A control process, until SIGTERM or SIGINT. Raises BadStart."""
     if not path:
         raise BadStart("--config names no file")
@@ -465,7 +463,7 @@
         files = make_files(Path(folder))
     except OSError as trouble:
         raise BadStart(f"{folder}: {trouble.strerror}") from None
-    control = make(loop, name, peers, lease, give_up, files, log, Random())
+    control = Control(loop, name, peers, lease, give_up, files, log, Random())
     control.begin(new)
     try:
         control.server.listen(peers[name])
--- a/orchidgap/control/tenure.py
+++ b/orchidgap/control/tenure.py
@@ -1,6 +1,5 @@
 """A balancer's side of control: its lease, the versions it promises and takes, and a node that asks before
-it takes a
-req whether it may."""
+it takes a req whether it may."""
 
 from __future__ import annotations
 
@@ -32,8 +31,7 @@
 
 class HeldNode(Node):
     """A node that takes reqs by a right only. It looks at the clock for each: a process that stood still
-    for longer
-    than its lease finds out before the first req that it takes."""
+    for longer than its lease finds out before the first req that it takes."""
 
     keeper: Keeper
 
@@ -275,15 +273,14 @@
 
 
 def held(path: str | None, loop: Loop, station: start.Station, log: Log, *more: Any,
-         make_files: Callable[[Path], Files] = Files, make: Callable[..., Keeper] = Keeper,
-         **named: Any) -> tuple[Node, Keeper]:
+         make_files: Callable[[Path], Files] = Files, **named: Any) -> tuple[Node, Keeper]:
     """A node that control holds, and what holds it. Raises BadStart."""
     assert station.control
     try:
         files = make_files(Path(station.control["dir"]))
     except OSError as trouble:
         raise start.BadStart(f"{station.control['dir']}: {trouble.strerror}") from None
-    keeper = make(path, loop, station, log, files, Random())
+    keeper = Keeper(path, loop, station, log, files, Random())
     node = HeldNode(loop, station, log, *more, **named)
     node.keeper, keeper.node = keeper, node
     return node, keeper
--- a/orchidgap/decisions/change.py
+++ b/orchidgap/decisions/change.py
@@ -50,8 +50,7 @@
 
 def asked(value: Value, id: str, doc: Value, again: bool, after: int) -> Value:
     """A proposer's call, which counts as long as nothing else was asked since its caller knew of `after`
-    tries: one
-    that comes late or twice must not bring back what its caller was told holds nowhere.
+    tries: one that comes late or twice must not bring back what its caller was told holds nowhere.
 
     >>> one = asked(EMPTY, "x", {}, False, 0)
     >>> one["next"]["id"], asked(one, "y", {}, False, 1)["tries"]
--- a/orchidgap/drill/town.py
+++ b/orchidgap/drill/town.py
@@ -155,7 +155,6 @@
         self.slot, self.ports = slot()
         self.telling = 0  # the version whose settings are written
         self.relays: dict[tuple[str, str], Relay] = {}
-        self.count = 0    # of callers of control
         self.latest = 0
         super().__init__(drill.plan, seed, real=True)
         self.broke = self.referee.broke
@@ -170,7 +169,6 @@
         self.started, self.held = 0.0, 0  # seconds until all were up, kilobytes that they held then
         self.logs: dict[str, tuple[int, list[str]]] = {}  # by process: how far read, its lines
         self.log_from: dict[str, int] = {}                # lines there when the step before was done
-        self.troubles: list[str] = []
 
     # --- what the trial's parts ask
 
@@ -283,9 +281,8 @@
             self.referee.event(self.loop.now, text)
             getattr(self, f"do_{what}")(*more)
 
-    def do_propose(self, how: str, by: str = "", more: str = "") -> None:
-        """`how` is good or bad; `by` names the control process asked, `again` the number of the change
-        asked anew."""
+    def do_propose(self, how: str, by: str = "") -> None:
+        """`how` is good or bad; `by` is the control process asked, or the version proposed once more."""
         anew = by.startswith("v")
         number = int(by[1:]) if anew else self.latest + 1
         self.latest = max(self.latest, number)
