--- a/orchidgap/trial/callers.py
+++ b/orchidgap/trial/callers.py
@@ -19,6 +19,7 @@
 LATE_BY = 3_000_000  # after its client timeout an answer is waited for no longer
 OWED = 3_000_000  # what a bad client is owed an error or a close within
 PIECE = 16_384  # bytes of a large req that are written at once
+BUSY = 10.0
 SPREAD = 0.25  # work takes a time of this gamma scale, at shape 4
 
 
@@ -168,6 +169,9 @@
         works = scene.plan.works()
         self.works, self.work_ends = works, list(accumulate(work.share for work in works))
         self.weights = {post: 1.0 + scene.plan.callers.skew * self.rng.uniform(-1, 1) for post in scene.posts}
+        if scene.plan.callers.busy:
+            for post in self.rng.sample(list(scene.posts), round(scene.plan.callers.busy * len(scene.posts))):
+                self.weights[post] *= BUSY
         self.key_ends = list(
             accumulate((rank + 3.0) ** -scene.plan.keys.zipf for rank in range(scene.plan.keys.count))
         )
--- a/orchidgap/trial/fabric.py
+++ b/orchidgap/trial/fabric.py
@@ -378,6 +378,9 @@
         with suppress(KeyError):
             self.loop.unwatch(listener)
         if not silent:
+            with suppress(OSError):  # what was let in meanwhile the machine, back again, knows nothing of
+                while True:
+                    listener.accept()[0].close()
             self.loop.watch(listener, READ, ready)
 
     def dial(self, address: Address) -> socket.socket | Fault:
--- a/orchidgap/trial/referee.py
+++ b/orchidgap/trial/referee.py
@@ -56,6 +56,7 @@
     took: int = 0
     outcome: str = ""  # what the host answered, once that was written
     flows: bool = False  # it still gives a large answer
+    ended_at: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -103,6 +104,7 @@
         self.latency = HdrHistogram(1, 60_000_000, 3)
         self.slow_connect = plan.ceilings.dispatches * millis(plan.net.connect_timeout_ms) + HELD
         self.grace = millis(plan.ceilings.drain_grace_ms)
+        self.hidden_until = 0  # some host says nothing until then, and what was out there ends soon after
         self.series: list[tuple[int, dict[str, Any]]] = []
         self.events: list[tuple[float, str]] = []  # troubles, for the report
         self.seconds: dict[int, list[float]] = {}  # by second: value asked, value in time
@@ -166,7 +168,9 @@
         self.denials[second] = self.denials.get(second, 0) + 1
         waited = at - max(ask.quiet_at, ask.came + millis(work.target_ms))
         if not any(sent.out for sent in ask.sent) and waited > self.slow_connect + self.slack:
-            self.breach("late", at, f"{who}: given up, and {status} held back for {waited / 1e3:.0f} ms")
+            # on real sockets what is out at a host that says nothing is not seen
+            if not (self.slack and at < self.hidden_until):
+                self.breach("late", at, f"{who}: given up, and {status} held back for {waited / 1e3:.0f} ms")
 
     def more(self, ask: Ask | None, at: int) -> None:
         """Bytes from the balancer that nobody asked for."""
@@ -244,7 +248,7 @@
 
     def settled(self, sent: Arrival, outcome: str, at: int, body: bytes = b"") -> None:
         """The host has begun to write its answer; a body counts as made for this req."""
-        sent.out, sent.outcome, sent.ask.quiet_at = False, outcome, at
+        sent.out, sent.outcome, sent.ask.quiet_at, sent.ended_at = False, outcome, at, at
         if outcome == "done":
             sent.ask.made[mark_of(body)] = sent
         self.note(at, "settled", sent.ask.id, sent.host, outcome)
--- a/orchidgap/trial/stores.py
+++ b/orchidgap/trial/stores.py
@@ -18,6 +18,7 @@
 GLANCE = 400  # microseconds of work that a miss, or a repeat that is dropped, takes
 SWEEP = 1_000_000
 PIECE = 16_384  # bytes of a large answer that are written at once
+UNSEEN = 2_000_000  # until what was sent to a silent host is given up
 CHANCE = 200_000  # microseconds of work that may come on top, by chance
 SPOILS = ("noise", "endless", "short", "long", "behind", "ahead", "garbled")
 FULL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nNot-Started: 1\r\n\r\n"
@@ -424,6 +425,8 @@
         if not self.alive or self.vanished == gone:
             return
         self.vanished = gone
+        others = any(store.vanished for store in self.scene.stores.values())
+        self.scene.referee.hidden_until = 1 << 62 if others else self.loop.now + UNSEEN
         self.scene.ground.hush(self.address, gone)
         if gone:
             self.halt()
