A hot key is spread over its owner's neighbours, found by the few reads that a balancer sees

Cause, measured first: with even ranges 40 caches stand at 2.5 of the mean and 12 with a key of 43% at 3.0. The redraw does not act in the first half minute (it waits for ten minutes' sends at two reqs a second), and with exact rates the formula leaves 2.25 and 5.2: one key is one slot (limits 1.49 and 4.49, spread.limit). Change: pure decisions/heat.py counts reads by key, fading, and Placement draws one of five caches, one more for each quarter of a share that the lower bound of the count takes.

Drill spread-hot, and the planted defect blind that it catches.

--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -76,6 +76,7 @@
     late: bool = False     # a dispatch of it was called off
     hops: int = 0          # redirections followed
     bound: Host | None = None  # where the last of them sent it
+    lean: int = 0          # caches beside its owner that it is meant for, as its key is hot
 
 def suspects(sent: list[Sent]) -> list[Sent]:
     """Dispatches that may have run or may yet run."""
--- a/orchidgap/decisions/rules.py
+++ b/orchidgap/decisions/rules.py
@@ -17,6 +17,7 @@
 from random import Random
 
 from orchidgap.decisions.chain import Door, Stage, link
+from orchidgap.decisions.heat import Heat
 from orchidgap.decisions.ports import Port
 from orchidgap.decisions.records import Host, Req, Sent, suspects
 from orchidgap.decisions.slots import Map, Turn, turn
@@ -28,6 +29,7 @@
 TICK, BREATHER = 500_000, 50_000
 EARLY = 20_000  # a held req is given up this long before its client leaves: a wake-up can be late
 FIRST_LIMIT = 24.0  # dispatches out at one host, from all instances together
+LEANS = (0, -1, 1, -2, 2)  # a hot key's caches, from its owner on
 FELL = frozenset(("full", "unconnected", "refused", "error", "reset", "stale"))  # another dispatch may do
 SPARE = 0.45  # of how slow it may be, up to which the origin takes reads off the caches
 
@@ -120,18 +122,22 @@
         self.fleet = Host("", False, credit=2.0)  # all caches together
         self.fair = inf  # how many dispatches a cache of size one may hold beside the others
         self.heft, self.placed, self.drawn_at = 1.0, 0, desk.now
+        self.heat = Heat()
 
     def take(self, req: Req, host: Host | None = None) -> None:
         if self.desk.owners:
             return self.owned(req)
         if req.write and self.desk.terms.origin_kind or req.missed:
             return self.next.take(req)
+        if not (req.write or req.sent or req.key is None):
+            copies = self.heat.copies(req.key, len(self.ring))
+            req.lean = self.desk.rng.choice(LEANS[:copies]) if copies > 1 else 0
         if host := None if self.last(req) else self.choose(req):
             return self.next.take(req, host)
         if not req.write and self.desk.origin.spare():  # no cache takes it, and the origin has time
             req.missed = True
             return self.prev.take(req)
-        if not self.ring or not self.ring[bisect_right(self.cuts, req.slot)].out:
+        if not self.ring or not self.ring[self.place(req)].out:
             return self.desk.finish(req)  # nothing is out that would make room
         self.keep(req)
 
@@ -165,7 +171,7 @@
             return host if host and host.state == "up" and self.room(host) else None
         if not ring:
             return None
-        i = bisect_right(self.cuts, req.slot)
+        i = self.place(req)
         tried = [sent.host for sent in req.sent if sent.verdict not in ("miss", "stale")]
         for step in range(min(2, n // 2) + 1):
             for host in (ring[i - step], ring[(i + step) % n]):  # the owner is asked twice
@@ -175,6 +181,10 @@
                     host.sends += 2
         return None
 
+    def place(self, req: Req) -> int:
+        """In the ring: the owner of its slot, or of a hot key by chance one of the neighbours."""
+        return (bisect_right(self.cuts, req.slot) + req.lean) % len(self.ring)
+
     def room(self, host: Host) -> bool:
         """A cold host gets its share of the reqs sent, cut to its warmth; those asked would push it over."""
         now, terms = self.desk.now, self.desk.terms
--- a/orchidgap/drill/defects.py
+++ b/orchidgap/drill/defects.py
@@ -11,6 +11,7 @@
 from orchidgap.control.server import Control
 from orchidgap.control.tenure import Keeper
 from orchidgap.decisions.change import Leases, Right, Tenure
+from orchidgap.decisions.heat import Heat
 from orchidgap.decisions.register import Value
 from orchidgap.http1.front import Client
 
@@ -118,5 +119,10 @@
     Control.write = lambda self, kept: None
 
 
+def blind() -> None:
+    """It sees no hot key."""
+    Heat.copies = lambda self, key, caches: 1
+
+
 DEFECTS = {defect.__name__: defect for defect in (
-    skips, early, forgets, twice, hasty, leaseless, dozes, impatient, amnesic)}
+    skips, early, forgets, twice, hasty, leaseless, dozes, impatient, amnesic, blind)}
--- /dev/null
+++ b/tests/decisions/test_heat.py
@@ -0,0 +1,72 @@
+"""Hot keys are found by few reads, spread over neighbours and given up again; usual ones are left alone."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+from desk import Desk
+from hypothesis import given
+from hypothesis import strategies as st
+
+from orchidgap.decisions.heat import MOST, SPAN, Heat
+
+
+@pytest.mark.parametrize(("part", "caches", "reads", "least", "most"), [
+    (0.43, 12, 30, 5, 12),       # found within seconds at two reqs a second
+    (0.04, 40, 200, 2, 12),
+    (0.04, 12, 2 * SPAN * 12, 2, 3),
+    (0.005, 12, 2 * SPAN * 12, 1, 1)])  # 0.06 of a cache
+def test_a_key_is_spread_by_what_it_takes_of_a_cache(part, caches, reads, least, most):
+    found = []
+    for seed in range(20):
+        heat, rng = Heat(), Random(seed)
+        for _ in range(reads):
+            heat.copies(0 if rng.random() < part else rng.randrange(1, 9_999), caches)
+        found.append(heat.copies(0, caches))
+    assert least <= sorted(found)[10] <= most
+
+
+@given(st.lists(st.integers(0, 30), max_size=3_000), st.integers(1, 20))
+def test_what_is_counted_is_bounded_and_no_key_is_spread_wider_than_there_are_caches(keys, caches):
+    heat = Heat()
+    for key in keys:
+        assert 1 <= heat.copies(key, caches) <= caches
+        assert sum(heat.counts.values()) <= heat.total + 1e-6 and len(heat.counts) <= MOST
+
+
+def test_a_key_that_cools_is_given_up():
+    heat, rng = Heat(), Random(1)
+    for _ in range(200):
+        heat.copies(0 if rng.random() < 0.4 else rng.randrange(1, 999), 12)
+    assert heat.copies(0, 12) > 1
+    for _ in range(8 * SPAN * 12):
+        heat.copies(rng.randrange(1, 999), 12)
+    assert 0 not in heat.counts
+
+
+def where(desk, key, count):
+    """The caches that reads of the key went to, one after another."""
+    went = Counter()
+    for _ in range(count):
+        req = desk.put(key)
+        went[desk.sent(req)[0]] += 1
+        desk.outcome(req, "done")
+    return went
+
+
+def test_reads_of_a_hot_key_go_to_two_neighbours_on_each_side_and_writes_and_others_to_owners():
+    desk = Desk(9)
+    owner = int(desk.owner(1)[1:])
+    went = where(desk, 1, 300)
+    assert set(went) == {f"c{(owner + step) % 9}" for step in (-2, -1, 0, 1, 2)}
+    assert all(count > 30 for count in went.values())
+    assert len(where(desk, 2, 2)) == 1
+
+
+def test_a_hot_key_whose_cache_rests_goes_beside_it():
+    desk = Desk(9)
+    owner = int(desk.owner(1)[1:])
+    where(desk, 1, 50)
+    desk.hosts[f"c{(owner + 1) % 9}"].shun_until = desk.now + 1_000_000
+    went = where(desk, 1, 200)
+    assert f"c{(owner + 1) % 9}" not in went and sum(went.values()) == 200
--- a/tests/drill/test_drills.py
+++ b/tests/drill/test_drills.py
@@ -22,6 +22,7 @@
     "dozes": ("change-stopped-cut", "old"),
     "impatient": ("change-stay-cut", "old stuck"),
     "amnesic": ("change-blackout", "stuck untrue"),
+    "blind": ("spread-hot", "uneven"),
 }
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -142,6 +142,7 @@
 @pytest.mark.parametrize("verdict", ["error", "reset"])
 def test_a_spoilt_answer_among_many_costs_a_host_neither_its_limit_nor_its_range(verdict):
     desk = Desk()
+    desk.placement.heat.copies = lambda key, caches: 1  # one key is all that is asked for
     owner = desk.owner(1)
     for _ in range(40):
         assert desk.owner(1) == owner
