Whether an attempt may still begin is asked right before its first byte is written

A hangup told the decisions, whose cancels are all that ended a dispatch; where cancels are not allowed (Balancer.end) one that was still connecting was written once its connection came up (Link.opened, carry). By reading, the same hole for a repeat whose mark was forgotten meanwhile (the window was looked at when it was decided), and for a client whose end stands behind bytes that are not read (eight reqs ahead stop reading; a backlog).

Link.carry now asks Exchange.wants: the req is open, its time and the window of its mark are not over, and its client has not closed. The same question is asked before a req is taken. What may not be called off ends with its own time and no longer stays for ever once its req is over.

Tests on real sockets with the crossing forced; the planted defects that send too late do so without that look.

--- a/orchidgap/decisions/chain.py
+++ b/orchidgap/decisions/chain.py
@@ -9,7 +9,7 @@
 from typing import Any, Generic, Protocol, TypeVar
 
 from orchidgap.decisions.ports import Port
-from orchidgap.decisions.records import Host, Req, Sent
+from orchidgap.decisions.records import Host, Req, Sent, suspects
 
 
 class Desk(Protocol):
@@ -106,6 +106,15 @@
         self.reqs: dict[int, Req] = {}
         self.hosts: dict[str, Host] = {}
 
+    def latest(self, id: int, number: int) -> int:
+        """Until when that dispatch may be written. A repeat of what may have run has to be at its host before
+        its mark is forgotten there, and the connection for it can come up late."""
+        req = self.reqs.get(id)
+        if req is None:
+            return 0
+        doubtful = suspects(req.sent[:number]) if req.rule_set.uniqued else []
+        return min(req.due, doubtful[0].at + req.rule_set.repeat_window) if doubtful else req.due
+
     def end(self, req: Req) -> None:
         req.over = True
         if not req.out:
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -116,6 +116,8 @@
                 self.clients.await_req(self)
 
     def take(self) -> None:
+        if self.gone():  # while it waited to be let in, or for those before it
+            return
         message, door, fields = self.reader.message, self.clients.door, self.reader.message.fields
         try:
             first, key = codec.split(message.target)
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -59,6 +59,8 @@
             self.carry(self.trip)
 
     def carry(self, trip: Trip) -> None:
+        if not trip.sender.wants(trip.number):
+            return self.spare(trip)
         self.trip, trip.link = trip, self
         now = self.pool.hosts.loop.now
         self.start, self.heard_at = self.conn.taken, now
@@ -75,6 +77,13 @@
             self.conn.drained = trip.flow.pace
             trip.flow.to(self)
 
+    def spare(self, trip: Trip) -> None:
+        """Nobody wants it any more, and nothing of it was written."""
+        self.trip = trip.link = None
+        self.idle_since = self.idle_since or self.pool.hosts.loop.now
+        self.pool.idle.append(self)
+        self.pool.hosts.loop.soon(trip.settle, Fault(Reach.UNSENT, "cancelled").verdict)
+
     def put(self, parts: list[bytes], last: bool) -> None:
         if self.chunked:
             parts = chunk(parts) + ([LAST_CHUNK] if last else [])
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import select
 import socket
 import struct
 import time
@@ -287,6 +288,14 @@
         try:
             self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
+    def gone(self) -> bool:
+        """Whether the other side has closed, also where what it sent before that is not read yet."""
+        if not self.open:
+            return True
+        poll = select.poll()
+        poll.register(self.sock, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
             return False
         except OSError:
             pass
--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -41,6 +41,9 @@
     def came(self) -> int:
         """When its last byte came, in microseconds of the loop's clock."""
 
+    def gone(self) -> bool:
+        """Whether its client has closed; it is let go then, though not within this call."""
+
     def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
         """The whole answer. `length` is what its head tells where it has no body."""
 
@@ -95,6 +98,14 @@
         """It has gone: what it asked for is of no use any more."""
         raise NotImplementedError
 
+    def gone(self) -> bool:
+        """Asked where something would begin for it. Its end is read as all it sends is, and so not while
+        nothing is read, nor before what it sent ahead of it."""
+        if not self.conn.gone():
+            return False
+        self.clients.loop.soon(self.conn.end, "closed")  # not at once: this may be a decision's own call
+        return True
+
     def opened(self) -> None:
         pass
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -90,8 +90,8 @@
 
     def close(self) -> None:
         self.over = True
-        if self.timer:
-            self.timer.cancel()
+        """It has its answer, or nobody waits for one. Its time runs on for what is still out, which may not
+        be called off everywhere and would be waited for without end."""
         if not self.giving:
             self.node.names.discard(self.name)
             self.node.tidy(self)
@@ -127,7 +127,7 @@
     def overdue(self) -> None:
         """Its time is up: what is out has timed out, and the answer goes out now whatever comes of that."""
         for trip in self.trips:
-            if not trip.settled:
+            if not trip.settled and trip is not self.giving:
                 trip.settle(trip.stop("overdue").verdict)
         if not self.over:
             self.node.note("unanswered", req=self.id)
@@ -135,6 +135,11 @@
             self.answer(500)
 
     def came_back(self, number: int, verdict: str, body: bytes) -> None:
+    def wants(self, number: int) -> bool:
+        if self.over or self.node.loop.now >= min(self.due, self.node.balancer.latest(self.id, number)):
+            return False
+        return not self.client.gone()
+
         """Of a dispatch, by its number."""
         if verdict == "moved":
             to = self.trips[number].to
@@ -325,12 +330,16 @@
 
     def dispatch(self, req: int, host: str) -> None:
         exchange = self.reqs[req]
-        trip = Trip(exchange.head, exchange.body, exchange.due, exchange, len(exchange.trips), host)
+        # of a body that flows its last byte is still to come; no host is to wait for longer than the client
+        due = min(exchange.due, self.loop.now + exchange.left)
+        trip = Trip(exchange.head, exchange.body, due, exchange, len(exchange.trips), host)
         trip.flow, trip.hold = exchange.flow, self.hold
         last = exchange.trips[-1] if exchange.trips else None
         trip.asking = last is not None and last.ask and last.to == host
+            if exchange.timer:
+                exchange.timer.cancel()
         exchange.trips.append(trip)
-        if exchange.over:
+        if exchange.over or self.loop.now >= exchange.due:
             return self.loop.soon(trip.settle, "moot")
         self.hosts.send(host, trip)
 
--- a/orchidgap/net/trip.py
+++ b/orchidgap/net/trip.py
@@ -51,6 +51,10 @@
 class Sender(Protocol):
     """Whose dispatch it is."""
 
+    def wants(self, number: int) -> bool:
+        """Whether that dispatch may still begin. Asked in the moment before its first byte is written: a
+        connection can have come up long after the decision to send."""
+
     def came_back(self, number: int, verdict: str, body: bytes) -> None:
         """What came of that dispatch of its own."""
 
--- a/orchidgap/resp/front.py
+++ b/orchidgap/resp/front.py
@@ -66,6 +66,9 @@
         if self.asked:
             self.asked.hangup()
 
+    def gone(self) -> bool:
+        return self.caller.gone()
+
     def put(self, body: bytes) -> None:
         self.bytes = body
         if self.slot >= 0:
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,110 @@
+"""A node on real loopback sockets, driven turn by turn under a clock that stands still between turns.
+
+What is to cross is there before the turn: `arrived` waits until the kernel has it, so no test hopes.
+"""
+
+import select
+import socket
+
+from desk import Net, heard
+
+from orchidgap.net.connection import Address, dial
+
+PATIENCE = 10  # seconds for the kernel to bring what was sent; never waited for when all is well
+RESET = "reset"
+
+
+def arrived(*socks):
+    """All of these have something to read, or their end."""
+    for sock in socks:
+        assert select.select([sock], [], [], PATIENCE)[0], "the kernel brought nothing"
+
+
+def told(far):
+    """As `heard`, but a reset is not taken for an end."""
+    try:
+        return far.recv(1 << 17).decode()
+    except BlockingIOError:
+        return None
+    except ConnectionError:
+        return RESET
+
+
+class Loopback(Net):
+    """Hosts and discovery listen on ports of their own; a dial goes to whatever its test port stands for."""
+
+    def __init__(self, *args, **more):
+        self.doors = {}
+        self.late = set()  # ports that take no connection for now
+        super().__init__(*args, **more)
+
+    def dial(self, address):
+        door = self.doors.get(address[1])
+        if door is None:
+            door = self.doors[address[1]] = socket.create_server(("127.0.0.1", 0))
+        sock = dial(door.getsockname())
+        if isinstance(sock, socket.socket):
+            door.settimeout(PATIENCE)
+            far, _ = door.accept()
+            far.setblocking(False)
+            self.dialled.append((address[1], far))
+        return sock
+
+    def opens(self) -> Address:
+        """Listens for clients; where."""
+        self.node.clients.listen(("127.0.0.1", 0))
+        return self.node.clients.listener.getsockname()
+
+    def caller(self, text=b""):
+        """A client whose connection and bytes are there, and which the node has not looked at."""
+        if self.node.clients.listener is None:
+            self.opens()
+        sock = socket.create_connection(self.node.clients.listener.getsockname(), PATIENCE)
+        sock.setblocking(False)
+        sock.sendall(text)
+        self.kept.append(sock)
+        arrived(self.node.clients.listener)
+        return sock
+
+    def near(self, client):
+        """The node's connection to this client."""
+        name = client.getsockname()
+        return next(caller.conn.sock for caller in self.node.clients.open if caller.conn.sock.getpeername() == name)
+
+    def brings(self, client, text):
+        """More of it is there, and the node has not looked."""
+        client.sendall(text)
+        arrived(self.near(client))
+
+    def brings_unread(self, client, text):
+        """More of it is there, on a connection that is not read."""
+        client.sendall(text)
+        arrived(self.near(client))
+
+    def gone(self, caller):
+        """The kernel knows of the end, whether or not anything before it was read."""
+        poll = select.poll()
+        poll.register(caller.conn.sock, select.POLLRDHUP)
+        assert poll.poll(PATIENCE * 1000), "the kernel brought no end"
+
+    def leaves(self, client):
+        """It has closed, and the node has not looked."""
+        near = self.near(client)
+        client.close()
+        arrived(near)
+
+    def asked(self):
+        """What a host was asked and has not been looked at, and that host's end."""
+        return next(((text, far) for far in self.fars() if (text := heard(far))), ("", None))
+
+    def answered(self, far, body="v", more=""):
+        """A host has answered, and the node has not looked."""
+        far.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n{more}\r\n{body}".encode())
+
+
+def req(key="k1", id="", left="2.0", rule_set="read", more=""):
+    return (f"GET /{rule_set}/{key} HTTP/1.1\r\nHost: s\r\nRequest-Id: r-{id or key}\r\nTenant: small\r\n"
+            f"Request-Timeout: {left}\r\n{more}\r\n").encode()
+
+
+__all__ = ["RESET", "Loopback", "arrived", "heard", "req", "told"]
--- /dev/null
+++ b/tests/net/test_attempts.py
@@ -0,0 +1,183 @@
+"""Attempts: what if the client, its time, the mark of a repeat or the host's place in the list is gone by the
+moment in which the first byte is written?"""
+
+import contextlib
+
+import pytest
+from loopback import Loopback, arrived, heard, req, told
+from test_net import full_pair
+
+from orchidgap.net.places import decoded
+
+UNCALLED = {"ceilings__may-cancel": "false"}  # where nothing that is out may be called off
+
+
+def held_up(net):
+    """From now on connections do not come up; what would come of the first, once it does."""
+    near, far = full_pair()
+    far.setblocking(False)
+    net.node.hosts.dialer = lambda address: near
+    return far
+
+
+def written(far):
+    """All that has come there, but for what stood in the way."""
+    parts = []
+    with contextlib.suppress(BlockingIOError):
+        while part := far.recv(1 << 20):
+            parts.append(part)
+    return b"".join(parts).replace(b"\0", b"")
+
+
+def comes_up(net, far):
+    assert written(far) == b""
+    net.turn()
+
+
+@pytest.mark.parametrize("settings", [{}, UNCALLED])
+def test_no_attempt_begins_for_a_client_that_left_while_its_connection_came_up(settings):
+    net = Loopback(1, **settings)
+    far = held_up(net)
+    client = net.caller(req())
+    net.turn()
+    assert len(net.node.reqs) == 1
+    net.leaves(client)
+    net.turn()
+    comes_up(net, far)
+    assert b"GET" not in written(far) and not net.node.reqs and net.verdicts == ["moot"]
+
+
+@pytest.mark.parametrize("settings", [{}, UNCALLED])
+def test_its_close_is_seen_also_where_it_comes_in_the_turn_in_which_the_connection_is_up(settings):
+    net = Loopback(1, **settings)
+    far = held_up(net)
+    client = net.caller(req())
+    net.turn()
+    assert written(far) == b""
+    net.leaves(client)  # both are there; the connection to the host is looked at first
+    link = next(iter(net.node.hosts.pools["c0"].links))
+    link.conn.ready(2)
+    net.turn()
+    assert b"GET" not in written(far) and not net.node.reqs
+
+
+def test_none_of_those_behind_is_sent_on_once_a_client_that_is_not_read_has_left():
+    """It sent much at once: reading is paused, and its end stands behind what is not read."""
+    net = Loopback(1)
+    client = net.caller(b"".join(req(f"k{i}") for i in range(20)))
+    net.turn()
+    caller = next(iter(net.node.clients.open))
+    assert caller.conn.holds
+    text, far = net.asked()
+    assert "/read/k0" in text
+    net.brings_unread(client, req("k20"))
+    client.close()
+    net.gone(caller)
+    net.answers(far)
+    net.wait(10_000)
+    assert net.asked()[0] == "" and not net.node.reqs and caller not in net.node.clients.open
+
+
+def test_no_attempt_begins_for_who_left_before_being_let_in():
+    net = Loopback(1)
+    client = net.caller(req())
+    client.close()
+    net.turn()
+    assert net.fars() == [] and not net.node.reqs and not net.node.clients.open
+
+
+def test_none_that_wait_for_a_host_are_sent_on_once_their_clients_left():
+    net = Loopback(1)
+    clients = [net.caller(req(f"k{i}")) for i in range(40)]
+    net.turn(8)
+    asked = [text for far in net.fars() if (text := heard(far))]
+    waiting = [client for client in clients if told(client) is None]
+    assert 0 < len(asked) < len(waiting), "some are out, others wait"
+    for client in waiting:
+        net.leaves(client)
+    net.turn(8)
+    for far in net.fars():
+        with contextlib.suppress(OSError):
+            net.answers(far)
+    net.wait(200_000)
+    assert net.asked()[0] == "" and not net.node.reqs
+
+
+@pytest.mark.parametrize(("after", "goes"), [(100_000, True), (300_000, False)])
+def test_a_repeat_is_not_written_once_its_mark_may_be_forgotten(after, goes):
+    """The decision to repeat is within the window; the connection comes up when it is over."""
+    net = Loopback(0, **{"rule-sets__1__repeat-window": "250000", "rule-sets__1__group": "all"})
+    client = net.caller(b"PUT /mark/k HTTP/1.1\r\nRequest-Id: 1\r\nIdempotency-Key: m\r\nRequest-Timeout: 2\r\n"
+                        b"Content-Length: 1\r\n\r\nv")
+    net.turn()
+    text, origin = net.asked()
+    assert text.startswith("PUT")
+    far = held_up(net)
+    origin.close()  # it may have run
+    arrived(next(iter(net.node.hosts.pools["o"].links)).conn.sock)
+    net.turn()
+    assert net.verdicts == ["reset"] and len(net.node.reqs) == 1, "a repeat is on its way"
+    net.node.hosts.connect_within = 10_000_000
+    for link in net.node.hosts.pools["o"].links:
+        link.forget_timer()
+    net.wait(after)
+    comes_up(net, far)
+    assert (b"PUT" in written(far)) == goes
+    assert goes or told(client).startswith("HTTP/1.1 503"), "and its client may repeat it"
+
+
+def test_nothing_is_written_for_a_req_whose_time_is_up_in_that_turn():
+    net = Loopback(1, **UNCALLED)
+    far = held_up(net)
+    client = net.caller(req(left="0.050"))
+    net.turn()
+    net.now += 60_000  # the loop was held up: its time and the connection come in one turn
+    comes_up(net, far)
+    assert b"GET" not in written(far) and told(client).split()[1] in ("500", "503")
+
+
+def test_what_may_not_be_called_off_ends_with_its_time_and_not_never():
+    net = Loopback(1, **UNCALLED)
+    client = net.caller(req(left="1.0"))
+    net.turn()
+    net.leaves(client)
+    net.turn()
+    assert len(net.node.reqs) == 1, "it runs on"
+    net.wait(1_000_000)
+    assert not net.node.reqs and not net.node.balancer.reqs and net.verdicts == ["timeout"]
+    assert sum(len(pool.links) for pool in net.node.hosts.pools.values()) == 0
+
+
+def test_no_host_is_told_to_wait_for_longer_than_the_client_does():
+    net = Loopback(1)
+    net.caller(b"PUT /mark/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 1.5\r\nContent-Length: 100000\r\n\r\n" + b"v" * 70_000)
+    net.turn()
+    text, _ = net.asked()
+    left = float(next(line.split(": ")[1] for line in text.split("\r\n") if line.startswith("Request-Timeout")))
+    assert left <= 1.5
+
+
+@pytest.mark.parametrize("health", ["Terminating", "Gone"])
+def test_a_host_that_drains_in_the_turn_in_which_its_connection_is_up_is_sent_nothing(health):
+    net = Loopback(2)
+    far = held_up(net)
+    net.caller(req())
+    net.turn()
+    owner = next(id for id, pool in net.node.hosts.pools.items() if pool.links)
+    link = next(iter(net.node.hosts.pools[owner].links))
+    net.node.hosts.dialer = net.dial
+    told_of = decoded({"seq": 8, "whole": False, "hosts": [net.entry(int(owner[1]), health)]})
+    net.node.on_list(False, *told_of[2:])
+    link.conn.ready(2)  # it was ready in the same turn
+    net.turn()
+    assert b"GET" not in written(far) and net.asked()[0].startswith("GET"), "the other serves it"
+
+
+def test_a_late_read_whose_client_left_is_not_sent_on_to_the_origin():
+    net = Loopback(1)
+    client = net.caller(req())
+    net.turn()
+    net.now += 600_000  # its time to be called off and its client's end come in one turn
+    net.leaves(client)
+    net.turn()
+    assert [port for port, _ in net.dialled if port == 109] == [] and not net.node.reqs
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -820,6 +820,9 @@
 
 
 def test_no_descriptor_to_dial_sheds_an_idle_link_and_dials_again():
+    def wants(self, number):
+        return True
+
     net = Net(2)
     for key in range(8):
         net.ask(f"k{key}")
--- a/tests/trial/planted.py
+++ b/tests/trial/planted.py
@@ -33,6 +33,9 @@
 class Nobody:
     """Whose dispatch nobody waits for."""
 
+    def wants(self, number):
+        return True
+
     def came_back(self, number, verdict, body):
         pass
 
@@ -184,7 +187,10 @@
 
 
 class RepeatsTooLate(Defect):
-    """A second copy of what is still out once the host has forgotten its mark."""
+    """A second copy of what is still out once the host has forgotten its mark, and no look at that at the write."""
+
+    def latest(self, id, number):
+        return 1 << 62
 
     def on_req(self, id, left, write, rule_set, key, tenant):
         super().on_req(id, left, write, rule_set, key, tenant)
