Watches wait 3 s, failed calls are made up for, a new process waits for its list

A change counts as told 6 s after discovery had it and could be reached, whatever calls failed. A watch waited 5 s and a second more, and so did the call after a silent one: a watch and one call lost took 12 s, and the longest back-off was 2 s. Now a watch is given up after 4 s at most, what was missed is asked for without a wait (then watched again), and the longest back-off is 1 s; a silent watch and a lost call behind it, or two lost calls, fit within 6 s (test_lists: sums, a table of failures, drawn outages). A list in pieces had to be whole 1 s after its wait; now each piece gives it a second more, with a bound.

What discovery has counts as told to a new process from its first moment, but it said yes to /up with the list of its file, before discovery had answered.

--- a/orchidgap/http1/registry.py
+++ b/orchidgap/http1/registry.py
@@ -14,10 +14,13 @@
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import Entry, Place, decoded
 
-WATCH_MS = 5_000            # how long a watch may wait: silence beyond it is noticed
-GRACE = 1_000_000           # after which an answer that is due is held to be lost
-FIRST, LONGEST = 100_000, 2_000_000  # back-off
+# What discovery tells is to be here within 6 s, whatever calls fail on the way. A watch that fell silent is
+# noticed in 4 s at most; then a call that is lost costs 1 s, and the wait for the next one 1 s at most.
+WATCH_MS = 3_000            # how long a watch may wait: silence beyond it is noticed
+GRACE = 1_000_000           # after which an answer that is due, or the rest of one, is held to be lost
+FIRST, LONGEST = 100_000, 1_000_000  # back-off
 SHORTEST = 20_000           # a watch that tells nothing in less is not asked again at once
+LATEST = WATCH_MS * 1000 + 2 * GRACE  # for an answer to come whole, however small its pieces
 MOST = 1 << 22              # bytes of a list
 
 
@@ -29,7 +32,7 @@
         self.dialer = dial
         self.version: int | None = None  # of the list held, None until it was fetched whole
         self.failures = 0
-        self.asked_at = 0
+        self.asked_at = self.wait = 0    # when the last call began, and how long it may wait, in milliseconds
         self.out = False                 # a call is out
         self.conn: Connection | None = None
         self.reader = AnswerReader()
@@ -51,10 +54,12 @@
             self.conn = Connection(self.loop, came, self, opening=True)
         self.reader.reset()
         self.out, self.asked_at = True, self.loop.now
-        path, wait = "/discovery/hosts", 0
+        path, self.wait = "/discovery/hosts", 0
         if self.version is not None:
-            path, wait = f"{path}?after={self.version}&wait_ms={WATCH_MS}", WATCH_MS * 1000
-        self.set_timer(wait + GRACE, self.ended, "silence")
+            # after a failure what was missed is asked for at once: a watch would take its whole wait to fail
+            self.wait = 0 if self.failures else WATCH_MS
+            path = f"{path}?after={self.version}&wait_ms={self.wait}"
+        self.set_timer(self.wait * 1000 + GRACE, self.ended, "silence")
         self.conn.send(f"GET {path} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def move(self, address: Address) -> None:
@@ -74,6 +79,8 @@
         elif self.reader.message.whole:
             self.out = False
             self.answered()
+        elif self.loop.now < self.asked_at + LATEST:  # it comes in pieces
+            self.set_timer(GRACE, self.ended, "silence")
 
     def answered(self) -> None:
         reader = self.reader
@@ -95,7 +102,7 @@
             self.drop()
         if whole or entries:
             self.heard(whole, entries, found)
-        idle = not entries and self.loop.now - self.asked_at < SHORTEST
+        idle = self.wait and not entries and self.loop.now - self.asked_at < SHORTEST
         self.set_timer(100_000 if idle else 0, self.ask)
 
     def ended(self, what: str) -> None:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -23,6 +23,7 @@
 from orchidgap.net.trip import Taker, Trip, loads
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
+FIRST_LIST = 1_000_000  # for discovery to tell its list before a new process serves
 UPLOAD = 3_600_000_000  # the time of a req whose body is not whole: it goes by what comes, see the front
 TICK = 10_000
 # of what a new file may bring
@@ -219,6 +220,7 @@
         self.descriptors = station.sockets  # that this process may hold
         self.handover = Handover(loop, self)
         self.fleet: dict[str, tuple[Entry, Place]] = {}  # the list as it was told
+        self.listed = False  # by discovery, or it did not answer in time
         self.clients = parts.clients(self, 8)
         self.hosts = parts.hosts(self, 8, dial)
         self.allot(station.sockets)
@@ -231,6 +233,8 @@
         self.keep(True, entries, found)
         self.decide(self.balancer.on_hosts, "recalled", entries)
         self.able()
+        # what it was started with may be old, and what discovery has counts as told from the first moment
+        self.loop.later(FIRST_LIST, self.heard_enough)
         self.registry.ask()
 
     # --- what it may hold
@@ -291,6 +295,11 @@
     def on_list(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
         self.keep(whole, entries, found)
         self.decide(self.balancer.on_hosts, "whole" if whole else "changes", entries)
+        self.heard_enough()
+
+    def heard_enough(self) -> None:
+        """Discovery has told its list, or is silent: then what it was started with has to do."""
+        self.listed = True
         self.able()
 
     def keep(self, whole: bool, entries: list[Entry], found: list[Place]) -> None:
@@ -304,7 +313,7 @@
 
     def able(self) -> None:
         """It can serve once it has a list, and what another process of this balancer knows."""
-        if self.fleet and not self.handover.waiting:
+        if self.fleet and self.listed and not self.handover.waiting:
             self.pass_on("able")
 
     def reported(self, trip: Trip) -> None:
--- /dev/null
+++ b/tests/http1/test_lists.py
@@ -0,0 +1,185 @@
+"""Watches: whatever call falls silent, is reset, refused or spoilt, a change is here in time."""
+
+import contextlib
+
+import orjson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import Loopback, heard
+
+from orchidgap.http1.registry import GRACE, LONGEST, SHORTEST, WATCH_MS
+from orchidgap.net.node import FIRST_LIST
+
+TOLD = 6_000_000   # after discovery had it and could be reached, it counts as told
+DRAIN = 250_000    # the shortest grace that any deployment gives
+STEP = 10_000
+
+
+class Agent:
+    """Answers as the protocol page says, but for calls with which something else happens."""
+
+    def __init__(self, net, fates=()):
+        self.net, self.fates = net, iter(fates)
+        self.seq, self.change, self.told = 7, None, None
+        self.down = False
+        self.calls, self.open = [], []  # calls: when, how long they may wait, what became of them
+
+    def look(self):
+        """All calls that have come; those that wait and have something to hear now."""
+        for far in [far for port, far in self.net.dialled if port == 8500]:
+            if far.fileno() >= 0 and (text := heard(far)):
+                self.hear(far, text)
+        for call in list(self.open):
+            far, after, until, fate = call
+            if fate == "answer" and (after is None or after < self.seq or self.net.now >= until) and not self.down:
+                self.open.remove(call)
+                self.say(far, after)
+
+    def hear(self, far, text):
+        path = text.split()[1]
+        asked = dict(pair.split("=") for pair in path.partition("?")[2].split("&")) if "?" in path else {}
+        wait = int(asked.get("wait_ms", 0)) * 1000
+        fate = "silent" if self.down else next(self.fates, "answer")
+        self.calls.append((self.net.now, wait, fate))
+        if fate == "reset":
+            self.net.kill(far)
+        elif fate == "spoilt":
+            self.send(far, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"seq\": 9")
+        elif fate == "half":
+            self.send(far, b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"seq\"")
+        elif fate != "silent":
+            self.open.append((far, int(asked["after"]) if asked else None, self.net.now + wait, fate))
+
+    def say(self, far, after):
+        whole = after is None or after > self.seq or self.seq - after > 5
+        hosts = [self.net.entry(0, "Terminating" if self.change else "Ready"), self.net.entry(1), self.net.entry(9)]
+        told = {"seq": self.seq, "whole": whole, "hosts": hosts if whole or after < self.seq else []}
+        body = orjson.dumps(told, option=orjson.OPT_INDENT_2)
+        self.send(far, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    @staticmethod
+    def send(far, text):
+        with contextlib.suppress(OSError):
+            far.sendall(text)
+
+    def changes(self):
+        self.seq, self.change = self.seq + 1, self.net.now
+
+    def run(self, micros):
+        end = self.net.now + micros
+        while self.net.now < end:
+            self.net.wait(min(STEP, end - self.net.now))
+            self.look()
+            self.net.turn(2)
+            if self.change and self.told is None and self.net.node.balancer.hosts["c0"].state == "draining":
+                self.told = self.net.now
+
+
+class Watched(Loopback):
+    def kill(self, far):
+        far.close()
+
+
+def test_the_sums_fit_within_what_counts_as_told():
+    silent_watch = WATCH_MS * 1000 + GRACE
+    assert silent_watch + LONGEST // 8 + GRACE < TOLD, "a silent watch, and one lost call behind it"
+    assert GRACE + LONGEST + GRACE + LONGEST < TOLD, "two lost calls after a return, with the longest waits"
+    assert SHORTEST < 200_000
+
+
+FATES = ("silent", "reset", "spoilt", "half")
+
+
+@pytest.mark.parametrize("first", FATES)
+@pytest.mark.parametrize("second", ("answer", *FATES))
+def test_a_change_after_a_watch_has_failed_is_here_in_time_though_the_next_call_fails_too(first, second):
+    net = Watched(2)
+    agent = Agent(net, ["answer", first, second])  # the list, the first watch, what follows it
+    agent.run(200_000)
+    assert agent.calls[1][1] == WATCH_MS * 1000
+    agent.changes()  # right after the watch has gone wrong
+    agent.run(TOLD)
+    assert agent.told and agent.told - agent.change < TOLD, agent.calls
+
+
+@given(st.integers(0, 9_000_000), st.integers(0, 7_000_000), st.lists(st.sampled_from(FATES), max_size=1))
+@settings(max_examples=25, deadline=None)
+def test_what_discovery_has_when_it_is_back_is_here_in_time(down_for, before, fates):
+    net = Watched(2)
+    agent = Agent(net, ["answer"])
+    agent.run(before)
+    agent.down = True
+    agent.open.clear()  # calls that wait are never answered
+    agent.run(down_for)
+    agent.fates = iter(fates)  # and one more call is lost
+    agent.down = False
+    agent.changes()
+    agent.run(TOLD)
+    assert agent.told and agent.told - agent.change < TOLD, agent.calls
+    for far in [far for _, far in net.dialled]:
+        far.close()
+
+
+def test_after_a_failed_call_what_was_missed_is_asked_for_at_once_and_then_watched():
+    net = Watched(2)
+    agent = Agent(net, ["answer", "reset"])
+    agent.run(400_000)
+    assert [wait for _, wait, _ in agent.calls] == [0, WATCH_MS * 1000, 0, WATCH_MS * 1000]
+    gap = agent.calls[3][0] - agent.calls[2][0]
+    assert gap <= 2 * STEP, "no watch stays closed for longer than it has to"
+
+
+def test_a_list_in_small_pieces_is_waited_for_but_not_for_ever():
+    net = Watched(2)
+    far = next(far for port, far in net.dialled if port == 8500)
+    body = orjson.dumps({"seq": 8, "whole": True, "hosts": [net.entry(3), net.entry(9)]})
+    text = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+    for piece in (text[:50], text[50:90], text[90:150]):
+        far.sendall(piece)
+        net.turn()
+        net.wait(GRACE - STEP)
+    far.sendall(text[150:])
+    net.turn()
+    assert set(net.node.balancer.hosts) == {"c3", "o"} and "list lost" not in net.log.lines
+    heard(far)
+    far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n")
+    for _ in range(8):
+        net.wait(GRACE - STEP)
+        with contextlib.suppress(OSError):
+            far.sendall(b" ")
+    assert "list lost" in net.log.lines
+
+
+# --- a new process
+
+def up(net):
+    client = net.caller(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+    net.turn()
+    return heard(client).split()[1]
+
+
+def test_a_new_process_serves_only_with_the_list_that_counts_as_told_to_it():
+    net = Watched(2, listed=False)
+    assert up(net) == "503" and len(net.node.fleet) == 3, "what it was started with may be old"
+    agent = Agent(net)
+    agent.change, agent.seq = net.now, 8
+    agent.look()
+    net.turn()
+    assert up(net) == "200" and net.node.balancer.hosts["c0"].state == "draining"
+
+
+def test_a_new_process_serves_by_the_list_it_was_started_with_where_discovery_is_silent():
+    net = Watched(2, listed=False)
+    net.wait(FIRST_LIST - 1)
+    assert up(net) == "503"
+    net.wait(1)
+    assert up(net) == "200"
+
+
+def test_a_new_process_without_any_list_does_not_serve():
+    net = Watched(2, listed=False, start=False)
+    net.node.station = net.node.station._replace(known=(0, True, [], []))
+    net.node.start()
+    net.wait(5 * FIRST_LIST)
+    assert up(net) == "503"
