A process that ends answers all it has taken, reqs behind others too, and half-closes

Life.over ended the process 3.5 s after SIGTERM (LAST_WORDS) whatever was open; a req that came late in the drain has a due time after that. Ruled out: crash (logs), SIGKILL (it comes later), a req that was never read (the node counts it).

Now what is open then gets its answer, 0.1 s before the process ends; where no client waits for 3 s, that is 0.5 s after the longest client timeout of the settings. A whole req behind the one under way is answered before the connection is let go. Idle connections are half-closed, and what still comes is read to a bound in time and, new, in bytes: a close over unread bytes resets, and may take the answer along.

--- a/orchidgap/decisions/lifecycle.py
+++ b/orchidgap/decisions/lifecycle.py
@@ -10,8 +10,10 @@
 
 LAST_CALL = 400_000    # after being told to stop, how long clients are still sent here
 UNUSED_FOR = 1_000_000  # into a drain, a connection that asks nothing is idle for good
-LAST_WORDS = 3_500_000  # after being told to stop, when it ends whatever req is open
-LONGEST = 30_000_000    # and where an answer still flows to its client
+LAST_WORDS = 3_500_000  # after being told to stop, when each open req gets its answer at the latest
+BEYOND = 500_000        # before that, where no client waits for so long: whoever came last has had its time
+LAST_WRITES = 100_000   # for those answers to be written, and then it ends
+LONGEST = 30_000_000    # or, where an answer still flows to its client, then
 
 
 class State(Enum):
@@ -64,10 +66,11 @@
     (True, True, False, False, 'leaving')
     """
 
-    __slots__ = ("able", "changes", "hands_over", "heir", "last", "means", "since", "state")
+    __slots__ = ("able", "changes", "hands_over", "heir", "last", "last_words", "means", "since", "state")
 
-    def __init__(self, now: int) -> None:
+    def __init__(self, now: int, longest: int = LAST_WORDS) -> None:
         self.able = False  # it could serve, whatever it was told by hand
+        self.bound(longest)
         self.heir = False  # another process of this balancer lets clients in
         self.changes = 0
         self.enter(State.STARTING, now)
@@ -76,6 +79,10 @@
         self.state, self.since, self.means = state, now, MEANS[state]
         self.follow(self.heir)
 
+    def bound(self, longest: int) -> None:
+        """So long does a client wait, at the most."""
+        self.last_words = min(LAST_WORDS, longest + BEYOND)
+
     def follow(self, heir: bool) -> None:
         """Whether another process of this balancer lets clients in, from now on."""
         self.heir = heir
@@ -108,12 +115,23 @@
         (False, True, False)
         >>> life.over(3_600_000, 1, False), life.over(3_600_000, 1, True), life.over(40_000_000, 1, True)
         (True, False, True)
+        >>> life.bound(400_000); life.over(900_000, 1, False), life.over(1_000_000, 1, False)
+        (False, True)
         """
         if self.state is not State.LEAVING:
             return False
         if not clients:
             return not self.admits(now)
-        return now - self.since >= (LONGEST if flows else LAST_WORDS)
+        return now - self.since >= (LONGEST if flows else self.last_words + LAST_WRITES)
+
+    def gives_up(self, now: int) -> bool:
+        """Whether what is still open gets its answer now: this process has no more time than that.
+
+        >>> life = Life(0); _ = life.on("leave", 0)
+        >>> life.gives_up(3_499_999), life.gives_up(3_500_000), life.over(3_500_000, 1, False)
+        (False, True, False)
+        """
+        return self.state is State.LEAVING and now - self.since >= self.last_words
 
     def lets_go(self, now: int) -> bool:
         """Whether connections that ask nothing are closed."""
--- a/orchidgap/decisions/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -24,6 +24,7 @@
     uniqued: bool
     group: str  # who drops repeats: all, zone or cell
     repeat_window: int
+    client_timeout: int  # of the clients that wait longest
 
 
 class Tenant(NamedTuple):
@@ -71,6 +72,11 @@
         """The shortest response target."""
         return min(rule_set.response_target for rule_set in self.rule_sets.values())
 
+    @property
+    def longest(self) -> int:
+        """The longest that any client waits."""
+        return max(rule_set.client_timeout for rule_set in self.rule_sets.values())
+
     @classmethod
     def read(cls, pairs: Mapping[str, str]) -> ServiceTerms:
         def need(path: str) -> str:
@@ -110,7 +116,7 @@
             rule_sets[name] = RuleSet(
                 int(number(at + "response-target", timeout, over=True)),
                 effect == "retryable", effect == "dedup",
-                word(at + "group", "cell", GROUPS), int(number(at + "repeat-window", 0)))
+                word(at + "group", "cell", GROUPS), int(number(at + "repeat-window", 0)), timeout)
         tenants: dict[str, Tenant] = {}
         for i in range(int(number("customers.count", 0))):
             name = need(f"customers.{i}.name")
--- a/orchidgap/http1/front.py
+++ b/orchidgap/http1/front.py
@@ -155,9 +155,15 @@
 
     # --- its answer
 
+    def leaves(self) -> bool:
+        """Whether the answer to the oldest req is the last here. A req that has come behind it is taken: it
+        would be lost with the connection, and has its answer first."""
+        behind = self.reader.behind
+        return self.clients.last and not (behind and behind[0].whole and not behind[0].trouble)
+
     def answer(self, status: int, body: bytes = b"", pause: int = 0, length: int | None = None) -> None:
         message, self.asked = self.reader.message, None
-        last = self.clients.last or not (message.whole and message.lasts)
+        last = self.leaves() or not (message.whole and message.lasts)
         head = codec.answer(status, len(body) if length is None else length, last, pause, message.version)
         self.conn.send(head, b"" if message.method == b"HEAD" else body)
         self.done(last)
@@ -166,7 +172,7 @@
         message = self.reader.message
         self.giving, self.source = True, source
         self.chunked = length is None and message.version == "1.1"
-        self.last = (self.clients.last or not (message.whole and message.lasts)
+        self.last = (self.leaves() or not (message.whole and message.lasts)
                      or length is None and not self.chunked)
         self.conn.drained = self.read_on
         self.conn.send(codec.answer(200, length, self.last, 0, message.version))
@@ -211,7 +217,7 @@
             return self.close()
         if self.chunked:
             self.conn.send(codec.LAST_CHUNK)
-        self.done(self.last or self.clients.last)  # a drain may have begun since its head went out
+        self.done(self.last or self.leaves())  # a drain may have begun since its head went out
 
     def done(self, last: bool) -> None:
         """The oldest req has its answer."""
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -17,6 +17,7 @@
 
 LINGER = 1_000_000    # for the other side to close once it has our last words
 LEFTOVER = 8_000_000  # and at most, while it still sends what nobody reads
+MOST_LEFT = 1 << 26   # bytes of that
 UNREAD = 10_000_000   # for the other side to read on in what is written
 MOST_OUT = 1 << 21    # bytes waiting to be written: the largest answer, and what is said behind it
 UNDER_WAY = frozenset((0, errno.EINPROGRESS, errno.EINTR))
@@ -132,8 +133,8 @@
 
 
 class Connection:
-    __slots__ = ("came", "closing", "drained", "holds", "loop", "mask", "moved", "opening", "out", "owner",
-                 "sock", "stamped", "taken", "timer", "until")
+    __slots__ = ("came", "closing", "drained", "dropped", "holds", "loop", "mask", "moved", "opening", "out",
+                 "owner", "sock", "stamped", "taken", "timer", "until")
 
     def __init__(self, loop: Loop, sock: socket.socket, owner: Owner, opening: bool = False,
                  stamped: bool = False) -> None:
@@ -141,6 +142,7 @@
         self.out = bytearray()
         self.taken = 0        # bytes that the kernel has taken so far
         self.drained: Callable[[], None] | None = None  # told when all that was to be written has been taken
+        self.dropped = 0      # bytes that came while it was closing
         self.closing = False  # nothing more is sent, what still comes is dropped
         self.holds = False    # nothing more is read for now: there is no room for what would come of it
         self.timer: Timer | None = None  # ends it unless the other side reads, or closes
@@ -191,6 +193,9 @@
         if not self.closing:
             return self.owner.received(self.loop.buffer[:count])
         self.moved = self.loop.now
+        self.dropped += count
+        if self.dropped > MOST_LEFT:
+            self.end("not read")
 
     def receive(self) -> int:
         """Without a stamp, what is there now may have come at any time since the loop last looked."""
@@ -283,11 +288,6 @@
             if not self.opening:
                 self.rewatch()
 
-    def stale(self) -> bool:
-        """Whether an idle connection was closed, or spoken on, since the last look."""
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
     def gone(self) -> bool:
         """Whether the other side has closed, also where what it sent before that is not read yet."""
         if not self.open:
@@ -296,6 +296,11 @@
         poll.register(self.sock, select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def stale(self) -> bool:
+        """Whether an idle connection was closed, or spoken on, since the last look."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
             return False
         except OSError:
             pass
--- a/orchidgap/net/doorway.py
+++ b/orchidgap/net/doorway.py
@@ -110,9 +110,12 @@
         pass
 
     def part(self) -> None:
-        """It may still read its last answer, but keeps no other client out by that."""
-        if self.conn.open:
+        """It may still read its last answer, but keeps no other client out by that. What it sends from now on
+        is dropped: its connection has ended on this side, so it asks elsewhere."""
+        if self.conn.open and not self.conn.closing:
             self.since = self.clients.loop.now
+            self.clients.idle.pop(self, None)
+            self.clients.unasked.pop(self, None)
             self.clients.parting[self] = None
             self.conn.finish()
 
@@ -226,11 +229,11 @@
         """Where more than half of the most are open, let the longest idle go, but for an eighth. Clients too
         hold only so many: those that ask once and stay would leave none long before there is no room here."""
         while (not self.door.life.heir  # which takes them as they are
-               and len(self.idle) > self.most // 8 and len(self.open) > self.most // 2):
+               and len(self.idle) > self.most // 8 and len(self.open) - len(self.parting) > self.most // 2):
             client = next(iter(self.idle))
             if not client.quiet():
                 return
-            client.close()
+            client.part()  # see release
 
     def hurry(self) -> bool:
         """Close the connection that has had its last answer for longest; whether there was one."""
@@ -279,5 +282,7 @@
         fresh = self.loop.now - FRESH
         for client in [*self.idle, *self.unasked]:
             client.conn.ready(READ)  # a req that has come is still answered
-            if client in self.idle or client in self.unasked and not client.begun and client.since <= fresh:
-                client.part() if client.conn.out else client.close()
+            if client in self.idle:
+                client.part()  # a close would reset it, and the answer with it, if its next req came just now
+            elif client in self.unasked and not client.begun and client.since <= fresh:
+                client.close()
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -90,9 +90,9 @@
             self.client.answer(status, body, pause, length)
 
     def close(self) -> None:
-        self.over = True
         """It has its answer, or nobody waits for one. Its time runs on for what is still out, which may not
         be called off everywhere and would be waited for without end."""
+        self.over = True
         if not self.giving:
             self.node.names.discard(self.name)
             self.node.tidy(self)
@@ -135,12 +135,12 @@
             self.node.decide(self.node.balancer.on_hangup, self.id)
             self.answer(500)
 
-    def came_back(self, number: int, verdict: str, body: bytes) -> None:
     def wants(self, number: int) -> bool:
         if self.over or self.node.loop.now >= min(self.due, self.node.balancer.latest(self.id, number)):
             return False
         return not self.client.gone()
 
+    def came_back(self, number: int, verdict: str, body: bytes) -> None:
         """Of a dispatch, by its number."""
         if verdict == "moved":
             to = self.trips[number].to
@@ -216,7 +216,7 @@
         self.reqs: dict[int, Exchange] = {}
         self.names: set[bytes] = set()  # of reqs that are owed an answer
         self.count = 0
-        self.life = Life(loop.now)
+        self.life = Life(loop.now, station.terms.longest)
         self.descriptors = station.sockets  # that this process may hold
         self.handover = Handover(loop, self)
         self.fleet: dict[str, tuple[Entry, Place]] = {}  # the list as it was told
@@ -334,6 +334,8 @@
     def tidy(self, exchange: Exchange) -> None:
         if exchange.over and all(trip.settled for trip in exchange.trips):
             self.reqs.pop(exchange.id, None)
+            if exchange.timer:
+                exchange.timer.cancel()
 
     # --- what the decisions ask for
 
@@ -345,8 +347,6 @@
         trip.flow, trip.hold = exchange.flow, self.hold
         last = exchange.trips[-1] if exchange.trips else None
         trip.asking = last is not None and last.ask and last.to == host
-            if exchange.timer:
-                exchange.timer.cancel()
         exchange.trips.append(trip)
         if exchange.over or self.loop.now >= exchange.due:
             return self.loop.soon(trip.settle, "moot")
@@ -408,6 +408,7 @@
         later += [name for name in terms._fields if getattr(terms, name) != getattr(station.terms, name)]
         self.station = station._replace(terms=terms, **{name: getattr(old, name) for name in AT_NEXT_START})
         self.hold = terms.target // 4
+        self.life.bound(terms.longest)
         if terms != old.terms:
             self.decide(self.balancer.on_terms, terms)
         self.hosts.bound(station.connect_within, station.idle_for)
@@ -442,6 +443,9 @@
             self.clients.release()
             if not self.clients.open and not self.reqs:
                 self.pass_on("empty")
+        if life.gives_up(now):
+            for exchange in [exchange for exchange in self.reqs.values() if not exchange.over]:
+                exchange.overdue()
         # a client is open while a req of it is, or an answer that it has to read
         if life.over(now, len(self.clients.open), any(exchange.giving for exchange in self.reqs.values())):
             return self.end()
--- /dev/null
+++ b/tests/net/test_leaving.py
@@ -0,0 +1,168 @@
+"""Shutdown: what if a req, an answer, a close or a signal comes between two of its steps?"""
+
+import signal
+
+import pytest
+from loopback import RESET, Loopback, arrived, heard, req, told
+from test_net import signals
+
+from orchidgap.decisions.lifecycle import BEYOND, LAST_CALL, LAST_WORDS, LAST_WRITES, State
+from orchidgap.net.connection import LINGER
+
+
+def idle_client(net):
+    client = net.caller(req("first"))
+    net.turn()
+    net.answers(net.far())
+    assert "200" in told(client)
+    return client
+
+
+@pytest.mark.parametrize("turns", [0, 1])
+def test_a_req_that_comes_in_the_turn_of_sigterm_has_its_answer(turns):
+    net = Loopback(1)
+    with signals(net, None):
+        client = idle_client(net)
+        net.brings(client, req("second"))
+        signal.raise_signal(signal.SIGTERM)  # both are there before the loop looks
+        net.turn(1 + turns)
+        assert net.node.life.state is State.LEAVING
+        net.turn()
+        net.answers(net.far())
+        said = told(client)
+        assert "200" in said and "Connection: close" in said and told(client) == ""
+
+
+@pytest.mark.parametrize("times", [2, 5])
+def test_sigterm_again_starts_no_time_anew_and_sighup_in_a_drain_ends_nothing(times, tmp_path):
+    net = Loopback(1)
+    with signals(net, str(tmp_path / "no file")):
+        client = net.caller(req())
+        net.turn()
+        for _ in range(times):
+            signal.raise_signal(signal.SIGTERM)
+            signal.raise_signal(signal.SIGHUP)
+            net.turn()
+            net.wait(LAST_CALL // 2)
+        assert net.node.life.since <= net.now - times * (LAST_CALL // 2) and net.loop.running
+        assert net.node.clients.listener is None, "shut after the first call's time"
+        net.answers(net.far())
+        assert "200" in told(client) and "terms kept" in net.log.lines
+
+
+def test_sigterm_before_the_first_list_ends_it():
+    net = Loopback(1, listed=False)
+    net.opens()
+    with signals(net, None):
+        signal.raise_signal(signal.SIGTERM)
+        net.turn()
+        net.wait(LAST_CALL + 20_000)
+        assert not net.loop.running and net.node.life.state is State.LEAVING
+
+
+def test_half_a_head_on_a_resting_connection_is_waited_for():
+    net = Loopback(1)
+    client, text = idle_client(net), req("second")
+    net.node.leave()
+    net.wait(LAST_CALL - 1)
+    net.brings(client, text[:30])  # there when idle ones are let go, and not read yet
+    net.wait(1)
+    assert told(client) is None and net.loop.running
+    net.brings(client, text[30:])
+    net.turn()
+    net.answers(net.far())
+    assert "Connection: close" in told(client) and told(client) == ""
+
+
+def test_a_pipelined_req_is_answered_before_the_connection_is_let_go():
+    net = Loopback(1)
+    client = net.caller(req("a") + req("b") + req("c") + req("d")[:20])
+    net.turn()
+    net.node.leave()
+    for key in "abc":
+        text, far = net.asked()
+        assert f"/read/{key}" in text
+        net.answers(far, body=key)
+        net.wait(10_000)
+        said = told(client)
+        assert said.endswith(key) and ("Connection: close" in said) == (key == "c"), "half a req waits for nothing"
+    assert told(client) == ""
+
+
+def test_whoever_waits_in_the_backlog_when_the_listener_is_shut_is_served():
+    net = Loopback(2)
+    net.opens()
+    net.node.leave()
+    net.wait(LAST_CALL - 1)
+    net.node.clients.look_away()  # as if the loop had not come round to it
+    clients = [net.caller(req(f"k{i}")) for i in range(3)]
+    net.node.clients.away = False
+    net.loop.watch(net.node.clients.listener, 1, lambda mask: None)
+    net.wait(10_000)
+    assert net.node.clients.listener is None
+    for far in net.fars():
+        if heard(far):
+            net.answers(far)
+    assert all("200" in told(client) for client in clients)
+
+
+def test_a_req_that_crosses_the_end_of_its_connection_is_not_sent_on_and_resets_nothing():
+    net = Loopback(1)
+    client = idle_client(net)
+    net.node.leave()
+    net.wait(LAST_CALL + 10_000)
+    assert "/read/first" in net.asked()[0]
+    client.sendall(req("crossing"))  # it has not heard of the end
+    arrived(net.near(client))
+    net.turn()
+    assert not net.node.reqs and net.asked()[0] == ""
+    assert told(client) == "", "an end in order, so that it asks elsewhere"
+    client.close()
+    net.wait(20_000)
+    assert not net.loop.running
+
+
+def test_the_last_answer_is_not_reset_away_by_what_came_behind_it():
+    net = Loopback(1)
+    client = net.caller(req("k"))
+    net.turn()
+    net.node.leave()
+    net.answered(net.far())
+    arrived(next(iter(net.node.hosts.pools["c0"].links)).conn.sock)
+    net.brings(client, req("behind")[:40])  # both are there: the answer goes out over unread bytes
+    net.turn()
+    client.sendall(b"x" * 5000)
+    net.turn()
+    assert told(client).endswith("\r\n\r\nv") and told(client) != RESET
+
+
+def test_a_client_that_never_closes_keeps_no_process():
+    net = Loopback(1)
+    idle_client(net)
+    net.node.leave()
+    net.wait(LAST_CALL + LINGER + 30_000)
+    assert not net.loop.running
+
+
+@pytest.mark.parametrize(("timeout", "last_words"), [(2_000_000, 2_000_000 + BEYOND), (300_000, 300_000 + BEYOND),
+                                                     (9_000_000, LAST_WORDS)])
+def test_what_is_open_at_the_last_has_its_answer_before_the_process_ends(timeout, last_words):
+    times = {f"rule_sets__{i}__client_timeout".replace("_sets", "-sets").replace("client_", "client-"): str(timeout)
+             for i in range(3)}
+    net = Loopback(1, **times, **{"ceilings__may-cancel": "false"})
+    client = net.caller(req("early", left="60"))
+    net.turn()
+    late = net.caller(req("late")[:30])  # begun, and whole only when there is hardly any time left
+    net.turn()
+    net.node.leave()
+    net.wait(last_words - 20_000)
+    if timeout < 9_000_000:  # else its patience is over
+        net.brings(late, req("late")[30:])
+        net.turn()
+    assert told(client) is None and net.loop.running
+    net.wait(30_000)
+    assert told(client).split()[1] in ("500", "503")
+    assert told(late).split()[1] in ("500", "503", "408")
+    assert net.loop.running, "time for the answers to be written"
+    net.wait(LAST_WRITES)
+    assert not net.loop.running
