A body that never comes whole holds no connection to a host; SIGHUP waits while it starts

Where nothing may be called off, a client that left in the middle of a flowing body left its dispatch on the link for good: no time runs for a body that is not whole, and the host waits for the rest. It never runs, so it is dropped when its req is over. SIGHUP between the first look at the file and the handlers ended the process; it is blocked over that stretch now (from serve's first line on), and the file is read again behind it.

Stand-ins on loopback write without delay (TCP_NODELAY): a byte that Nagle held back had made one of them see nothing.

--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -93,6 +93,10 @@
         """It has its answer, or nobody waits for one. Its time runs on for what is still out, which may not
         be called off everywhere and would be waited for without end."""
         self.over = True
+        for trip in self.trips:
+            # what will not come whole never runs, so this calls nothing off; its host would wait for ever
+            if trip.flow and not (trip.flow.whole or trip.settled or trip is self.giving):
+                self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
         if not self.giving:
             self.node.names.discard(self.name)
             self.node.tidy(self)
--- a/orchidgap/net/serve.py
+++ b/orchidgap/net/serve.py
@@ -40,6 +40,8 @@
           talk: Callable[..., Any] | None = None) -> None:
     """Takes the configuration's path, what is spoken, what decides, who makes a node that control holds, and
     who talks to other balancers; ends when told to. Raises BadStart."""
+    # until it is heeded: its default would end the process, and it may tell of a file newer than what is read
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     station = start.read(path)
     log = Log(station.name)
     loop = Loop(trouble=log.trouble)
@@ -51,6 +53,7 @@
     else:
         node = Node(loop, station, log, parts(station), decider=decider)
     bell = on_signal(loop, node, path)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     if station.admin:
         operators = Operators(loop, {"health": node.health, "quiesce": node.quiesce, "resume": node.resume,
                                      "watch": node.watch})
--- a/tests/http1/test_lists.py
+++ b/tests/http1/test_lists.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from loopback import Loopback, heard
 
-from orchidgap.http1.registry import GRACE, LONGEST, SHORTEST, WATCH_MS
+from orchidgap.http1.registry import GRACE, LATEST, LONGEST, SHORTEST, WATCH_MS
 from orchidgap.net.node import FIRST_LIST
 
 TOLD = 6_000_000   # after discovery had it and could be reached, it counts as told
@@ -143,11 +143,15 @@
     net.turn()
     assert set(net.node.balancer.hosts) == {"c3", "o"} and "list lost" not in net.log.lines
     heard(far)
+    begun = net.now
     far.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n")
+    net.turn()
     for _ in range(8):
+        assert "list lost" not in net.log.lines or net.now >= begun + LATEST
         net.wait(GRACE - STEP)
         with contextlib.suppress(OSError):
             far.sendall(b" ")
+        net.turn()
     assert "list lost" in net.log.lines
 
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -20,6 +20,12 @@
         assert select.select([sock], [], [], PATIENCE)[0], "the kernel brought nothing"
 
 
+def prompt(sock):
+    """What is written to it is with the other side at once, and does not wait for what was before it."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setblocking(False)
+
+
 def told(far):
     """As `heard`, but a reset is not taken for an end."""
     try:
@@ -46,7 +52,7 @@
         if isinstance(sock, socket.socket):
             door.settimeout(PATIENCE)
             far, _ = door.accept()
-            far.setblocking(False)
+            prompt(far)
             self.dialled.append((address[1], far))
         return sock
 
@@ -60,7 +66,7 @@
         if self.node.clients.listener is None:
             self.opens()
         sock = socket.create_connection(self.node.clients.listener.getsockname(), PATIENCE)
-        sock.setblocking(False)
+        prompt(sock)
         sock.sendall(text)
         self.kept.append(sock)
         arrived(self.node.clients.listener)
--- a/tests/net/test_attempts.py
+++ b/tests/net/test_attempts.py
@@ -181,3 +181,26 @@
     net.leaves(client)
     net.turn()
     assert [port for port, _ in net.dialled if port == 109] == [] and not net.node.reqs
+
+
+@pytest.mark.parametrize("settings", [{}, UNCALLED])
+def test_a_body_that_will_never_be_whole_holds_no_connection_to_a_host(settings):
+    net = Loopback(1, **settings)
+    client = net.caller(b"PUT /mark/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 1.5\r\n"
+                        b"Content-Length: 100000\r\n\r\n" + b"v" * 70_000)
+    net.turn()
+    assert net.asked()[0].startswith("PUT") and net.node.hosts.count == 1
+    net.leaves(client)
+    net.turn()
+    assert net.node.hosts.count == 0 and not net.node.reqs and not net.node.balancer.reqs
+
+
+def test_nothing_is_written_for_a_req_that_has_its_answer():
+    net = Loopback(1, **UNCALLED)
+    far = held_up(net)
+    client = net.caller(req())
+    net.turn()
+    net.node.deny(1, 0)
+    assert "503" in told(client)
+    comes_up(net, far)
+    assert b"GET" not in written(far) and not net.node.reqs
--- a/tests/net/test_leaving.py
+++ b/tests/net/test_leaving.py
@@ -60,17 +60,20 @@
         assert not net.loop.running and net.node.life.state is State.LEAVING
 
 
-def test_half_a_head_on_a_resting_connection_is_waited_for():
+@pytest.mark.parametrize("first", [30, None])
+def test_what_comes_between_the_look_at_a_resting_connection_and_its_end_is_waited_for(first):
     net = Loopback(1)
     client, text = idle_client(net), req("second")
+    assert "/read/first" in net.asked()[0]
+    # due in the same turn as idle ones are let go, and before that; what was ready in that turn is done with
+    net.loop.at(net.now + LAST_CALL, net.brings, client, text[:first])
     net.node.leave()
-    net.wait(LAST_CALL - 1)
-    net.brings(client, text[:30])  # there when idle ones are let go, and not read yet
-    net.wait(1)
+    net.wait(LAST_CALL)
     assert told(client) is None and net.loop.running
-    net.brings(client, text[30:])
-    net.turn()
-    net.answers(net.far())
+    if first:
+        net.brings(client, text[first:])
+        net.turn()
+    net.answers(net.asked()[1])
     assert "Connection: close" in told(client) and told(client) == ""
 
 
