What comes behind an answer, sooner than its host can answer, goes to no other req

A host may say more some milliseconds behind its answer; on a link that has been taken again by then, that was parsed as the answer to the next req. A comparison of bodies would fail reqs whose values are alike.

Now what comes within 5 ms of the last answer there is the next req's only if it took four fifths at least of the least time in which anything ever came back from that host: what crossed the req came sooner. Else the link is closed, and the decisions hear of a kept link that broke.

--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -15,6 +15,7 @@
 from orchidgap.net.trip import Taker, Trip
 
 SWEEP = 1_000_000
+SETTLE = 5_000      # for so long after an answer a host may say more, that belongs to nobody
 SHORT = 200_000     # a link that breaks after it was idle for less says nothing of those idle for longer
 STALL = 10_000_000  # for a host to give more of an answer that flows
 
@@ -23,12 +24,11 @@
     """One connection to a host: opening, idle, or carrying one trip."""
 
     __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "start_idle",
-                 "taker", "timer",
-                 "trip")
+                 "taker", "timer", "trip", "wrote_at")
 
     def __init__(self, pool: Pool, sock: socket.socket, trip: Trip | None) -> None:
         self.pool, self.reader = pool, AnswerReader()
-        self.idle_since = self.start = self.heard_at = 0
+        self.idle_since = self.start = self.heard_at = self.wrote_at = 0
         self.start_idle = 0               # how long it had been idle when its trip began
         self.chunked = False              # the body under way goes in chunks
         self.taker: Taker | None = None   # of the answer, once it flows
@@ -63,7 +63,7 @@
             return self.spare(trip)
         self.trip, trip.link = trip, self
         now = self.pool.hosts.loop.now
-        self.start, self.heard_at = self.conn.taken, now
+        self.start, self.heard_at, self.wrote_at = self.conn.taken, now, now
         self.start_idle = now - self.idle_since if self.idle_since else 0
         bare = trip.head.startswith(b"HEAD ")
         if bare or self.reader.bare:
@@ -95,6 +95,8 @@
             return self.ended("spoke unasked")
         reader, message = self.reader, self.reader.message
         self.heard_at = self.pool.hosts.loop.now
+        if not reader.begun and self.too_soon():
+            return self.ended("said before it can have been asked")
         reader.feed(view)
         if message.trouble:
             self.ended("no proper answer")
@@ -112,6 +114,15 @@
         elif message.headed and message.length is None and not self.timer:
             self.timer = self.pool.hosts.loop.later(self.trip.hold, self.begin, self.trip)
 
+    def too_soon(self) -> bool:
+        """Whether what comes cannot be the answer to this req: it comes right behind the last answer, and
+        sooner than this host ever answered. What it said behind its last answer crossed the req."""
+        took, pool = self.heard_at - self.wrote_at, self.pool
+        if self.idle_since and self.start_idle + took < SETTLE and took < pool.quickest * 4 // 5:
+            return True
+        pool.quickest = min(pool.quickest or took, took)
+        return False
+
     def begin(self, trip: Trip) -> None:
         """The answer is too large to be kept, or too slow to see how large it is: it flows from here on."""
         if self.trip is not trip or self.taker or self.reader.message.whole:
@@ -215,6 +226,7 @@
         super().__init__(hosts, address)
         self.idle: deque[Link] = deque()  # the newest last
         self.need = Need(hosts.loop.now)
+        self.quickest = 0  # the least time in which anything came back; 0 until known
 
     def send(self, trip: Trip) -> None:
         self.need.saw(self.hosts.loop.now, len(self.links) - len(self.idle) + 1)
--- /dev/null
+++ b/tests/http1/test_links.py
@@ -0,0 +1,168 @@
+"""Connections to hosts: what if the other side says more, breaks or closes just as the next req goes out there?"""
+
+import pytest
+from loopback import RESET, Loopback, arrived, heard, req, told
+
+from orchidgap.http1.upstream import SETTLE, STALL
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"
+QUICK = 2_000  # in which these hosts answer
+
+
+def near(far, net):
+    """Our end of this connection."""
+    return next(link.conn.sock for pool in net.node.hosts.pools.values() for link in pool.links
+                if link.conn.sock.getsockname() == far.getpeername())
+
+
+def rested(net, wait=100_000):
+    """A link to the one cache that is idle, and has been for so long; its far end."""
+    client = net.caller(req("first"))
+    net.turn()
+    _, far = net.asked()
+    net.wait(QUICK)
+    net.answers(far)
+    assert "200" in told(client)
+    net.wait(wait)
+    return far
+
+
+@pytest.mark.parametrize("says", [ANSWER + b"x", b"HTTP/1.1 20", b"\0", None])
+def test_a_link_on_which_something_came_is_not_taken_though_nobody_has_looked(says):
+    net = Loopback(1)
+    old = rested(net)
+    ours = near(old, net)
+    client = net.caller(req("second"))
+    old.sendall(says) if says else old.close()
+    arrived(ours, net.node.clients.listener)
+    net.node.clients.accept()  # the client is looked at first
+    net.turn()
+    text, new = net.asked()
+    assert "/read/second" in text and new is not old
+    net.answers(new, body="mine")
+    assert told(client).endswith("mine")
+
+
+@pytest.mark.parametrize("rest", [0, SETTLE - QUICK])
+def test_a_second_answer_that_crosses_the_next_req_goes_to_nobody(rest):
+    net = Loopback(1)
+    old = rested(net, wait=rest)
+    client = net.caller(req("second"))
+    net.turn()
+    assert "/read/second" in net.asked()[0] and len(net.fars()) == 1, "the same link"
+    net.now += QUICK // 2  # sooner than that host can have got it and answered
+    net.answers(old, body="not mine")
+    assert told(client) is None and net.verdicts[-1] == "stale"
+    text, new = net.asked()
+    assert "/read/second" in text and new is not old, "a read may be asked for again"
+    net.wait(QUICK)
+    net.answers(new, body="mine")
+    assert told(client).endswith("\r\n\r\nmine")
+
+
+@pytest.mark.parametrize(("rest", "after"), [(0, QUICK), (0, QUICK - QUICK // 6), (SETTLE, QUICK // 2), (SETTLE - QUICK // 2, QUICK // 2)])
+def test_an_answer_as_quick_as_others_or_well_behind_the_last_one_is_taken(rest, after):
+    net = Loopback(1)
+    far = rested(net, wait=rest)
+    client = net.caller(req("second"))
+    net.turn()
+    net.now += after
+    net.answers(far, body="mine")
+    assert told(client).endswith("mine") and len(net.fars()) == 1
+
+
+def test_a_host_that_closes_as_its_link_is_written_to_is_asked_again_on_another():
+    net = Loopback(1)
+    old = rested(net)
+    client = net.caller(req("second"))
+    net.turn()
+    assert "/read/second" in net.asked()[0]
+    ours = near(old, net)
+    old.close()
+    arrived(ours)
+    net.turn()
+    text, new = net.asked()
+    assert net.verdicts[-1] == "stale" and "/read/second" in text
+    net.answers(new, body="mine")
+    assert told(client).endswith("mine")
+
+
+@pytest.mark.parametrize("rule_set", ["once", "mark"])
+def test_what_may_have_run_on_a_link_that_broke_runs_no_second_time(rule_set):
+    net = Loopback(1, **{"rule-sets__1__repeat-window": "1"})
+    body = f"PUT /{rule_set}/k HTTP/1.1\r\nRequest-Id: {{}}\r\nIdempotency-Key: m\r\nRequest-Timeout: 2\r\nContent-Length: 1\r\n\r\nv"
+    first = net.caller(body.format(1).encode())
+    net.turn()
+    _, old = net.asked()
+    net.answers(old)
+    assert "200" in told(first)
+    net.wait(100_000)
+    second = net.caller(body.format(2).encode())
+    net.turn()
+    assert "Request-Id: 2" in net.asked()[0]
+    ours = near(old, net)
+    old.close()
+    arrived(ours)
+    net.wait(10_000)
+    assert net.asked()[0] == "" and told(second).split()[1] == ("500" if rule_set == "once" else "503")
+
+
+@pytest.mark.parametrize("reset", [True, False])
+def test_an_answer_without_length_has_ended_only_where_its_host_closed_in_order(reset):
+    net = Loopback(1)
+    client = net.caller(b"PUT /once/k HTTP/1.1\r\nRequest-Id: 1\r\nRequest-Timeout: 2\r\nContent-Length: 1\r\n\r\nv")
+    net.turn()
+    _, far = net.asked()
+    ours = near(far, net)
+    far.sendall(b"HTTP/1.1 200 OK\r\n\r\nas far as it")
+    arrived(ours)
+    net.turn()
+    net.resets(far) if reset else far.close()
+    arrived(ours)
+    net.turn()
+    said = told(client)
+    assert said.split()[1] == ("500" if reset else "200") and (reset or said.endswith("as far as it"))
+
+
+def test_an_answer_that_flows_and_is_reset_does_not_end_in_order_for_its_client():
+    net = Loopback(1)
+    client = net.caller(req())
+    net.turn()
+    _, far = net.asked()
+    ours = near(far, net)
+    far.sendall(b"HTTP/1.1 200 OK\r\n\r\nas far as it")
+    net.turn()
+    net.wait(net.node.hold)
+    assert "as far as it" in told(client)
+    net.resets(far)
+    arrived(ours)
+    net.turn()
+    assert told(client) == RESET
+
+
+@pytest.mark.parametrize("spoilt", [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", b"HTTP/1.1 200 OK\r\nX: " + b"y" * 20_000, b"\0\0\0"])
+def test_an_answer_that_never_ends_or_is_none_costs_its_link_and_not_the_req(spoilt):
+    net = Loopback(2)
+    client = net.caller(req())
+    net.turn()
+    _, old = net.asked()
+    old.sendall(spoilt)
+    net.turn()
+    text, new = net.asked()
+    assert net.verdicts == ["reset"] and "/read/k1" in text and new is not old
+    net.answers(new, body="mine")
+    assert told(client).endswith("mine")
+    assert heard(old) == "", "it is closed, and never used again"
+
+
+def test_an_answer_that_drips_for_ever_holds_its_client_for_a_bounded_time():
+    net = Loopback(1)
+    client = net.caller(req())
+    net.turn()
+    _, far = net.asked()
+    far.sendall(b"HTTP/1.1 200 OK\r\n\r\nx")
+    net.turn()
+    net.wait(STALL + 2_000_000)  # it says no more
+    told(client)
+    assert told(client) == RESET and net.node.hosts.count == 0 and not net.node.reqs
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 
 import select
 import socket
+import struct
 
 from desk import Net, heard
 
@@ -101,7 +102,12 @@
 
     def asked(self):
         """What a host was asked and has not been looked at, and that host's end."""
-        return next(((text, far) for far in self.fars() if (text := heard(far))), ("", None))
+        return next(((text, far) for far in self.fars() if far.fileno() >= 0 and (text := heard(far))), ("", None))
+
+    def resets(self, far):
+        """A host resets its connection, and the node has not looked."""
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        far.close()
 
     def answered(self, far, body="v", more=""):
         """A host has answered, and the node has not looked."""
