--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -16,6 +16,7 @@
 
 SWEEP = 1_000_000
 SETTLE = 5_000      # for so long after an answer a host may say more, that belongs to nobody
+KNOWN = 20          # answers of a host, after which it is known how quick it can be
 SHORT = 200_000     # a link that breaks after it was idle for less says nothing of those idle for longer
 STALL = 10_000_000  # for a host to give more of an answer that flows
 
@@ -118,9 +119,11 @@
         """Whether what comes cannot be the answer to this req: it comes right behind the last answer, and
         sooner than this host ever answered. What it said behind its last answer crossed the req."""
         took, pool = self.heard_at - self.wrote_at, self.pool
-        if self.idle_since and self.start_idle + took < SETTLE and took < pool.quickest * 4 // 5:
+        known = pool.answers >= KNOWN
+        if self.idle_since and self.start_idle + took < SETTLE and known and took < pool.quickest * 4 // 5:
             return True
-        pool.quickest = min(pool.quickest or took, took)
+        pool.quickest = min(pool.quickest, took) if pool.answers else took
+        pool.answers += 1
         return False
 
     def begin(self, trip: Trip) -> None:
@@ -226,7 +229,7 @@
         super().__init__(hosts, address)
         self.idle: deque[Link] = deque()  # the newest last
         self.need = Need(hosts.loop.now)
-        self.quickest = 0  # the least time in which anything came back; 0 until known
+        self.quickest = self.answers = 0  # the least time in which one came back, and of how many
 
     def send(self, trip: Trip) -> None:
         self.need.saw(self.hosts.loop.now, len(self.links) - len(self.idle) + 1)
