--- a/tests/http1/test_lists.py
+++ b/tests/http1/test_lists.py
@@ -187,3 +187,20 @@
     net.node.start()
     net.wait(5 * FIRST_LIST)
     assert up(net) == "503"
+
+
+@pytest.mark.parametrize("fates", [[], ["silent"], ["reset"], ["spoilt"], ["half"]])
+def test_after_sighup_has_moved_discovery_its_list_is_here_within_4_s(fates):
+    net = Watched(2)
+    agent = Agent(net, ["answer"])
+    agent.run(700_000)
+    agent.fates = iter(fates)
+    agent.seq, agent.change = 3, net.now  # it counts anew there, and one of its hosts drains
+    net.node.registry.move(("127.0.0.1", 8501))
+    for _ in range(400):
+        net.wait(STEP)
+        net.dialled = [(8500 if port == 8501 else port, far) for port, far in net.dialled]
+        agent.look()
+        net.turn(2)
+    assert net.node.balancer.hosts["c0"].state == "draining", agent.calls
+    assert agent.calls[-1][1] == WATCH_MS * 1000, "and is watched"
--- /dev/null
+++ b/tests/net/test_floods.py
@@ -0,0 +1,93 @@
+"""Floods: who sends much and goes, who fills the descriptors and says nothing, who writes a byte at a time."""
+
+import orjson
+from loopback import Loopback, arrived, heard, req, told
+from test_net import tells, watched
+
+from orchidgap.net.doorway import PATIENCE, SETTLED, TURNED_AWAY
+
+
+def test_hundreds_of_reqs_at_once_from_one_who_goes_are_one_dispatch_and_no_memory():
+    net = Loopback(1)
+    client = net.caller(b"".join(req(f"k{i}") for i in range(400)))
+    net.turn()
+    caller = next(iter(net.node.clients.open))
+    assert caller.conn.holds and len(caller.reader.behind) < 700, "one read's worth is kept, no more"
+    client.close()
+    net.gone(caller)
+    assert "/read/k0" in net.asked()[0]
+    net.answers(net.far())
+    net.wait(20_000)
+    assert net.asked()[0] == "" and not net.node.reqs and not net.node.clients.open and not net.node.names
+
+
+def test_idle_clients_at_the_most_keep_out_neither_reqs_nor_the_list():
+    net = Loopback(1, sockets=64)
+    most = net.node.clients.most
+    heard(watched(net))
+    silent = [net.caller() for _ in range(3 * most)]
+    net.turn(8)
+    assert len(net.node.clients.open) <= most + TURNED_AWAY
+    net.wait(SETTLED)  # who has asked nothing for so long is the first to make way
+    late = net.caller(req("late"))
+    net.turn(8)
+    text, far = net.asked()
+    assert "/read/late" in text
+    net.answers(far)
+    assert "200" in told(late)
+    watched(net).close()  # discovery breaks off and is back, with all of them still there
+    net.turn()
+    net.wait(200_000)
+    tells(net, 41, True, [net.entry(5), net.entry(9)])
+    assert set(net.node.balancer.hosts) == {"c5", "o"}
+    assert silent
+
+
+def test_service_returns_by_itself_when_those_who_filled_it_have_gone():
+    net = Loopback(1, sockets=64)
+    # each is asked for something, and its host does not answer
+    busy = [net.caller(b"PUT /mark/b%d HTTP/1.1\r\nRequest-Id: %d\r\nRequest-Timeout: 60\r\nContent-Length: 90000\r\n\r\n"
+                       % (i, i) + b"v" * 70_000) for i in range(net.node.clients.most)]
+    net.turn(8)
+    shut_out = net.caller(req("out"))
+    net.turn(4)
+    assert told(shut_out).split()[1] == "503" and told(shut_out) == ""
+    for client in busy:
+        client.close()
+    net.turn(8)
+    client = net.caller(req("in"))
+    net.turn(4)
+    while "/read/in" not in (found := net.asked())[0]:
+        assert found[0], "never sent on"
+    net.answers(found[1])
+    assert "200" in told(client) and len(net.node.clients.open) <= 2
+
+
+def test_a_req_written_a_byte_at_a_time_is_taken_and_one_that_stands_still_is_let_go():
+    net = Loopback(1)
+    text = req()
+    client, still = net.caller(text[:1]), net.caller(text[:9])
+    net.turn()
+    for at in range(1, len(text)):
+        net.brings(client, text[at:at + 1])
+        net.wait(PATIENCE // 2 // len(text))
+    found, far = net.asked()
+    assert "/read/k1" in found
+    net.answers(far)
+    assert "200" in told(client) and told(still) is None
+    net.wait(PATIENCE)
+    assert told(still).startswith("HTTP/1.1 408") and told(still) == ""
+    assert told(client) is None, "who was served may rest"
+
+
+def test_a_list_that_comes_while_clients_flood_is_taken_in_the_same_turn():
+    net = Loopback(1)
+    agent = watched(net)
+    heard(agent)
+    body = orjson.dumps({"seq": 8, "whole": True, "hosts": [net.entry(3), net.entry(9)]})
+    agent.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    arrived(net.node.registry.conn.sock)
+    for i in range(100):
+        net.caller(req(f"k{i}"))
+    net.loop.turn(0)
+    assert set(net.node.balancer.hosts) == {"c3", "o"}
