--- a/orchidgap/http1/moving.py
+++ b/orchidgap/http1/moving.py
@@ -11,11 +11,11 @@
 from orchidgap.http1.front import Client
 from orchidgap.http1.standing import rest_of, whole_of
 from orchidgap.http1.upstream import Hosts, Link, Pool
+from orchidgap.net.attempt import Attempt
 from orchidgap.net.flow import Upload
 from orchidgap.net.handover import Moving
 from orchidgap.net.loop import READ
 from orchidgap.net.node import Exchange, Node
-from orchidgap.net.trip import Trip
 
 MOST = 120_000  # bytes that still wait to be written, with which one goes
 
@@ -76,7 +76,7 @@
         return None
     message = client.reader.message
     rest = rest_of(message, b"PUT / HTTP/%b" % message.version.encode())
-    if rest is None or message.parts or sum(not trip.settled for trip in exchange.trips) != 1:
+    if rest is None or message.parts or sum(not attempt.settled for attempt in exchange.attempts) != 1:
         return None
     told = {"name": exchange.name.decode("latin-1"), "left": exchange.left, "size": message.size,
             "length": message.length, "chunked": link.chunked, "head": rest[0].decode("latin-1"),
@@ -92,7 +92,7 @@
 
 
 def place_of(exchange: Exchange, link: Link) -> dict[str, Any]:
-    host = next((trip.host for trip in exchange.trips if trip.link is link), "")
+    host = next((attempt.host for attempt in exchange.attempts if attempt.link is link), "")
     return {"host": host, "at": link.pool.address}
 
 
@@ -127,13 +127,13 @@
     name, head = told["name"].encode("latin-1"), memoryview(bytearray(told["head"].encode("latin-1")))
     if words[0] == "answer":
         exchange = Exchange(node, node.number(), name, client, b"", b"", 0, None, timed=False)
-        trip = link.trip = trip_of(exchange, told["host"], link, None)
+        attempt = link.attempt = attempt_of(exchange, told["host"], link, None)
         link.reader.feed(head)
         link.reader.message.take()
         message = client.reader.message = client.reader.into = Message()
         message.headed = message.whole = True
         message.method, message.version, message.lasts = b"GET", str(told["version"]), bool(told["lasts"])
-        exchange.go_on(trip, giving=True)
+        exchange.go_on(attempt, giving=True)
         client.go_on_giving(exchange, link.conn, bool(told["chunked"]), bool(told["last"]), raw)
         link.taker = client
         link.pool.hosts.flows[link] = None
@@ -147,8 +147,8 @@
         flow.gone, flow.size = True, message.size
         exchange = Exchange(node, node.number(), name, client, b"", b"", int(told["left"]), flow)
         exchange.last_word = int(told["last_word"])
-        trip = link.trip = trip_of(exchange, told["host"], link, flow)
-        exchange.go_on(trip, giving=False)
+        attempt = link.attempt = attempt_of(exchange, told["host"], link, flow)
+        exchange.go_on(attempt, giving=False)
         client.go_on_flowing(exchange, flow)
         link.chunked, link.conn.drained = bool(told["chunked"]), flow.pace
         if raw:
@@ -179,7 +179,7 @@
     return link
 
 
-def trip_of(exchange: Exchange, host: Any, link: Link, flow: Upload | None) -> Trip:
-    trip = Trip(b"", b"", exchange.due, exchange, 0, str(host))
-    trip.flow, trip.link = flow, link
-    return trip
+def attempt_of(exchange: Exchange, host: Any, link: Link, flow: Upload | None) -> Attempt:
+    attempt = Attempt(b"", b"", exchange.due, exchange, 0, str(host))
+    attempt.flow, attempt.link = flow, link
+    return attempt
--- a/orchidgap/http1/upstream.py
+++ b/orchidgap/http1/upstream.py
@@ -10,9 +10,9 @@
 from orchidgap.decisions.links import Need
 from orchidgap.http1.codec import LAST_CHUNK, AnswerReader, chunk
 from orchidgap.net import pools
+from orchidgap.net.attempt import Attempt, Taker
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken, dial
 from orchidgap.net.loop import Loop, Timer
-from orchidgap.net.trip import Taker, Trip
 
 SWEEP = 1_000_000
 SETTLE = 5_000      # for so long after an answer a host may say more, that belongs to nobody
@@ -22,31 +22,43 @@
 
 
 class Link:
-    """One connection to a host: opening, idle, or carrying one trip."""
-
-    __slots__ = ("chunked", "conn", "heard_at", "idle_since", "pool", "reader", "start", "start_idle",
-                 "taker", "timer", "trip", "wrote_at")
-
-    def __init__(self, pool: Pool, sock: socket.socket, trip: Trip | None) -> None:
+    """One connection to a host: opening, idle, or carrying one attempt."""
+
+    __slots__ = (
+        "attempt",
+        "chunked",
+        "conn",
+        "heard_at",
+        "idle_since",
+        "pool",
+        "reader",
+        "start",
+        "start_idle",
+        "taker",
+        "timer",
+        "wrote_at",
+    )
+
+    def __init__(self, pool: Pool, sock: socket.socket, attempt: Attempt | None) -> None:
         self.pool, self.reader = pool, AnswerReader()
         self.idle_since = self.start = self.heard_at = self.wrote_at = 0
-        self.start_idle = 0               # how long it had been idle when its trip began
+        self.start_idle = 0               # how long it had been idle when its attempt began
         self.chunked = False              # the body under way goes in chunks
         self.taker: Taker | None = None   # of the answer, once it flows
-        self.trip = trip
-        self.conn = Connection(pool.hosts.loop, sock, self, opening=trip is not None)
+        self.attempt = attempt
+        self.conn = Connection(pool.hosts.loop, sock, self, opening=attempt is not None)
         self.timer: Timer | None = None
-        if trip:
-            trip.link = self
+        if attempt:
+            attempt.link = self
             self.timer = pool.hosts.loop.later(pool.hosts.connect_within, self.ended, "never came up")
 
     def reach(self) -> Reach:
         if self.conn.opening or self.conn.taken == self.start:
             return Reach.UNSENT
-        flows = self.trip and self.trip.flow and not self.trip.flow.whole
+        flows = self.attempt and self.attempt.flow and not self.attempt.flow.whole
         return Reach.PARTLY if self.conn.out or flows else Reach.WHOLE
 
-    def drop(self, trip: Trip) -> Reach:
+    def drop(self, attempt: Attempt) -> Reach:
         """The host sees its connection close: there is no other way to tell it."""
         reach = self.reach()
         self.close()
@@ -56,34 +68,34 @@
         if self.timer:
             self.timer.cancel()
             self.timer = None
-        if self.trip:
-            self.carry(self.trip)
+        if self.attempt:
+            self.carry(self.attempt)
 
-    def carry(self, trip: Trip) -> None:
-        if not trip.sender.wants(trip.number):
-            return self.spare(trip)
-        self.trip, trip.link = trip, self
+    def carry(self, attempt: Attempt) -> None:
+        if not attempt.sender.wants(attempt.number):
+            return self.spare(attempt)
+        self.attempt, attempt.link = attempt, self
         now = self.pool.hosts.loop.now
         self.start, self.heard_at, self.wrote_at = self.conn.taken, now, now
         self.start_idle = now - self.idle_since if self.idle_since else 0
-        bare = trip.head.startswith(b"HEAD ")
+        bare = attempt.head.startswith(b"HEAD ")
         if bare or self.reader.bare:
             self.reader.renew(bare)
         else:
             self.reader.reset()
-        left = max(1, trip.due - self.pool.hosts.loop.now)
-        self.conn.send(trip.head, b"Request-Timeout: %.3f\r\n\r\n" % (left / 1e6), trip.body)
-        if trip.flow and self.conn.open:
-            self.chunked = trip.flow.length is None
-            self.conn.drained = trip.flow.pace
-            trip.flow.to(self)
-
-    def spare(self, trip: Trip) -> None:
+        left = max(1, attempt.due - self.pool.hosts.loop.now)
+        self.conn.send(attempt.head, b"Request-Timeout: %.3f\r\n\r\n" % (left / 1e6), attempt.body)
+        if attempt.flow and self.conn.open:
+            self.chunked = attempt.flow.length is None
+            self.conn.drained = attempt.flow.pace
+            attempt.flow.to(self)
+
+    def spare(self, attempt: Attempt) -> None:
         """Nobody wants it any more, and nothing of it was written."""
-        self.trip = trip.link = None
+        self.attempt = attempt.link = None
         self.idle_since = self.idle_since or self.pool.hosts.loop.now
         self.pool.idle.append(self)
-        self.pool.hosts.loop.soon(trip.settle, Fault(Reach.UNSENT, "cancelled").verdict)
+        self.pool.hosts.loop.soon(attempt.settle, Fault(Reach.UNSENT, "cancelled").verdict)
 
     def put(self, parts: list[bytes], last: bool) -> None:
         if self.chunked:
@@ -92,7 +104,7 @@
             self.conn.send(*parts)
 
     def received(self, view: memoryview) -> None:
-        if self.trip is None:  # nobody asked: what it would answer next cannot be trusted
+        if self.attempt is None:  # nobody asked: what it would answer next cannot be trusted
             return self.ended("spoke unasked")
         reader, message = self.reader, self.reader.message
         self.heard_at = self.pool.hosts.loop.now
@@ -111,9 +123,9 @@
             if message.large:  # what it says matters, not all of its words
                 self.done(verdict_of(message.status, message.fields.get(b"not-started") == b"1"))
         elif message.large:
-            self.begin(self.trip)
+            self.begin(self.attempt)
         elif message.headed and message.length is None and not self.timer:
-            self.timer = self.pool.hosts.loop.later(self.trip.hold, self.begin, self.trip)
+            self.timer = self.pool.hosts.loop.later(self.attempt.hold, self.begin, self.attempt)
 
     def too_soon(self) -> bool:
         """Whether what comes cannot be the answer to this req: it comes right behind the last answer, and
@@ -126,12 +138,12 @@
         pool.answers += 1
         return False
 
-    def begin(self, trip: Trip) -> None:
+    def begin(self, attempt: Attempt) -> None:
         """The answer is too large to be kept, or too slow to see how large it is: it flows from here on."""
-        if self.trip is not trip or self.taker or self.reader.message.whole:
+        if self.attempt is not attempt or self.taker or self.reader.message.whole:
             return
         self.forget_timer()
-        taker = trip.sender.begin(trip.number)
+        taker = attempt.sender.begin(attempt.number)
         if taker is None:
             return self.ended("not wanted")
         self.taker = taker
@@ -142,39 +154,39 @@
 
     def done(self, verdict: str) -> None:
         """The answer is there, or what matters of it."""
-        trip, reader, message = self.trip, self.reader, self.reader.message
-        assert trip
+        attempt, reader, message = self.attempt, self.reader, self.reader.message
+        assert attempt
         body = b"".join(message.parts) if message.whole else b""
-        trip.load = message.fields.get(b"server-load", b"")
+        attempt.load = message.fields.get(b"server-load", b"")
         if reader.bare:
-            trip.length = message.length
+            attempt.length = message.length
         lasts = (message.whole and message.lasts
-                 and not (reader.extra or self.conn.out or trip.flow and not trip.flow.whole))
+                 and not (reader.extra or self.conn.out or attempt.flow and not attempt.flow.whole))
         self.clear()
         if lasts:
             self.pool.rest(self)
         else:
             self.close()
-        trip.settle(verdict, body)
+        attempt.settle(verdict, body)
 
     def clear(self) -> None:
         """It carries nothing any more."""
-        trip, self.trip = self.trip, None
+        attempt, self.attempt = self.attempt, None
         if self.taker:
             self.taker = None
             self.pool.hosts.flows.pop(self, None)
             self.conn.hold(False)
         if self.timer:
             self.forget_timer()
-        if trip and trip.flow:
+        if attempt and attempt.flow:
             self.conn.drained = None
-            trip.flow.leave(self)
+            attempt.flow.leave(self)
 
     def let_go(self) -> None:
-        """It goes on in another process: nothing comes of its trip here."""
-        if self.trip:
-            self.trip.settled, self.trip.link = True, None
-            self.trip.flow = None
+        """It goes on in another process: nothing comes of its attempt here."""
+        if self.attempt:
+            self.attempt.settled, self.attempt.link = True, None
+            self.attempt.flow = None
         self.close()
 
     def forget_timer(self) -> None:
@@ -183,22 +195,22 @@
             self.timer = None
 
     def ended(self, what: str) -> None:
-        trip = self.trip
-        if trip and what == "closed" and self.reader.begun and self.reader.ended():
+        attempt = self.attempt
+        if attempt and what == "closed" and self.reader.begun and self.reader.ended():
             if self.taker:
                 self.taker.give(self.reader.message.take())
                 return self.done("done")
             return self.done(verdict_of(self.reader.message.status, False))
-        stale = trip is not None and self.idle_since > 0 and not self.reader.begun
+        stale = attempt is not None and self.idle_since > 0 and not self.reader.begun
         cause = "stale" if stale else broken(what) if self.conn.opening else "broken"
         fault = Fault(self.reach(), cause, what)
         self.close()
         if stale and self.start_idle > SHORT:  # those kept for longer yet: the next try needs one that holds
             while self.pool.idle:
                 self.pool.idle[0].close()
-        if trip:
+        if attempt:
             # not at once: this may be the decision's own call to send
-            self.pool.hosts.loop.soon(trip.settle, fault.verdict)
+            self.pool.hosts.loop.soon(attempt.settle, fault.verdict)
 
     def close(self) -> None:
         self.clear()
@@ -231,25 +243,25 @@
         self.need = Need(hosts.loop.now)
         self.quickest = self.answers = 0  # the least time in which one came back, and of how many
 
-    def send(self, trip: Trip) -> None:
+    def send(self, attempt: Attempt) -> None:
         self.need.saw(self.hosts.loop.now, len(self.links) - len(self.idle) + 1)
         while self.idle:
             link = self.idle.pop()
             if self.worn(link) or link.conn.stale():
                 link.close()
                 continue
-            return link.carry(trip)
-        self.dial(trip)
+            return link.carry(attempt)
+        self.dial(attempt)
 
     def worn(self, link: Link) -> bool:
         """The host closes it at the limit at the latest, and what is written from then on is a reset."""
         return self.hosts.loop.now - link.idle_since > self.hosts.idle_for * 9 // 10
 
-    def dial(self, trip: Trip) -> None:
+    def dial(self, attempt: Attempt) -> None:
         came = self.hosts.dial(self.address)
         if isinstance(came, Fault):
-            return self.hosts.loop.soon(trip.settle, came.verdict)
-        self.add(Link(self, came, trip))
+            return self.hosts.loop.soon(attempt.settle, came.verdict)
+        self.add(Link(self, came, attempt))
 
     def rest(self, link: Link) -> None:
         if self.retired:
@@ -271,7 +283,7 @@
     def retire(self) -> None:
         self.retired = True
         for link in list(self.links):
-            if link.trip is None or link.conn.opening:
+            if link.attempt is None or link.conn.opening:
                 link.ended("host drains")
 
 
--- a/orchidgap/net/trip.py
+++ b/orchidgap/net/attempt.py
@@ -1,4 +1,4 @@
-"""A dispatch on the network, whatever carries it."""
+"""An attempt on the network, whatever carries it: what the decisions call a dispatch."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 class Carrier(Protocol):
     """A connection to a host that carries dispatches."""
 
-    def drop(self, trip: Trip) -> Reach:
+    def drop(self, attempt: Attempt) -> Reach:
         """Carry it no further; how far it came."""
 
 
@@ -62,8 +62,8 @@
         """Who takes its answer, which flows; None: nobody wants it any more."""
 
 
-class Trip:
-    """One dispatch on the network. Exactly one thing comes of it."""
+class Attempt:
+    """One attempt on the network. Exactly one thing comes of it."""
 
     __slots__ = ("ask", "asking", "body", "due", "flow", "head", "hold", "host", "length", "link", "load",
                  "number", "sender", "settled", "to")
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -11,6 +11,7 @@
 from orchidgap.decisions.records import UNRUN
 from orchidgap.decisions.rules import Balancer
 from orchidgap.decisions.watch import Watching
+from orchidgap.net.attempt import Attempt, Taker, loads
 from orchidgap.net.connection import Address, Fault, dial
 from orchidgap.net.doorway import Answered, Clients
 from orchidgap.net.flow import Upload
@@ -20,7 +21,6 @@
 from orchidgap.net.places import Entry, Place
 from orchidgap.net.pools import Pools
 from orchidgap.net.start import Station
-from orchidgap.net.trip import Taker, Trip, loads
 
 GUARD = 20_000       # the answer is out this long before the client timeout: a timer can be late
 FIRST_LIST = 1_000_000  # for discovery to tell its list before a new process serves
@@ -47,8 +47,22 @@
 class Exchange:
     """One req on the network, from its last byte to its answer and the last of its dispatches."""
 
-    __slots__ = ("body", "client", "due", "flow", "giving", "head", "id", "last_word", "left", "name", "node",
-                 "over", "timer", "trips")
+    __slots__ = (
+        "attempts",
+        "body",
+        "client",
+        "due",
+        "flow",
+        "giving",
+        "head",
+        "id",
+        "last_word",
+        "left",
+        "name",
+        "node",
+        "over",
+        "timer",
+    )
 
     def __init__(self, node: Node, id: int, name: bytes, client: Answered, head: bytes, body: bytes,
                  left: int, flow: Upload | None, timed: bool = True) -> None:
@@ -56,8 +70,8 @@
         self.name = name  # its id with the client
         node.names.add(name)
         self.over = False
-        self.giving: Trip | None = None  # whose answer flows to the client
-        self.trips: list[Trip] = []
+        self.giving: Attempt | None = None  # whose answer flows to the client
+        self.attempts: list[Attempt] = []
         self.flow = flow  # its body, while that comes
         self.timer: Timer | None = None
         self.last_word = 0  # its answer, should its dispatch fail, where the decisions do not know it
@@ -75,8 +89,8 @@
         self.due = self.client.came + self.left - min(GUARD, self.left // 4)
         if not self.over:
             self.timer = self.node.loop.at(self.due, self.overdue)
-            for trip in self.trips:
-                trip.due = self.due
+            for attempt in self.attempts:
+                attempt.due = self.due
             self.node.decide(self.node.balancer.on_whole, self.id, max(0, self.due - self.node.loop.now),
                              exchange=self)
 
@@ -93,10 +107,10 @@
         """It has its answer, or nobody waits for one. Its time runs on for what is still out, which may not
         be called off everywhere and would be waited for without end."""
         self.over = True
-        for trip in self.trips:
+        for attempt in self.attempts:
             # what will not come whole never runs, so this calls nothing off; its host would wait for ever
-            if trip.flow and not (trip.flow.whole or trip.settled or trip is self.giving):
-                self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
+            if attempt.flow and not (attempt.flow.whole or attempt.settled or attempt is self.giving):
+                self.node.loop.soon(attempt.settle, attempt.stop("cancelled").verdict)
         if not self.giving:
             self.node.names.discard(self.name)
             self.node.tidy(self)
@@ -105,35 +119,35 @@
         """The answer of this dispatch is the final one, and its body follows."""
         if self.over:
             return None
-        self.giving = self.trips[number]
+        self.giving = self.attempts[number]
         self.close()
         self.node.decide(self.node.balancer.on_outcome, self.id, number, "done", True)
         return cast(Taker, self.client)  # only pools whose door takes flows ask
 
     def given(self, whole: bool) -> None:
         """What there is of that body has been passed on."""
-        trip, self.giving = self.giving, None
+        attempt, self.giving = self.giving, None
         self.node.names.discard(self.name)
         cast(Taker, self.client).end(whole)
-        if not whole and trip:
-            self.node.decide(self.node.balancer.on_unfinished, trip.host)
+        if not whole and attempt:
+            self.node.decide(self.node.balancer.on_unfinished, attempt.host)
 
     def hangup(self) -> None:
         if self.giving:
-            trip, self.giving = self.giving, None
+            attempt, self.giving = self.giving, None
             self.node.names.discard(self.name)
-            self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
+            self.node.loop.soon(attempt.settle, attempt.stop("cancelled").verdict)
         if not self.over:
             self.close()
             self.node.decide(self.node.balancer.on_hangup, self.id)
-            for trip in self.trips if self.last_word else ():  # the decisions do not know it
-                self.node.loop.soon(trip.settle, trip.stop("cancelled").verdict)
+            for attempt in self.attempts if self.last_word else ():  # the decisions do not know it
+                self.node.loop.soon(attempt.settle, attempt.stop("cancelled").verdict)
 
     def overdue(self) -> None:
         """Its time is up: what is out has timed out, and the answer goes out now whatever comes of that."""
-        for trip in self.trips:
-            if not trip.settled and trip is not self.giving:
-                trip.settle(trip.stop("overdue").verdict)
+        for attempt in self.attempts:
+            if not attempt.settled and attempt is not self.giving:
+                attempt.settle(attempt.stop("overdue").verdict)
         if not self.over:
             self.node.note("unanswered", req=self.id)
             self.node.decide(self.node.balancer.on_hangup, self.id)
@@ -147,18 +161,18 @@
     def came_back(self, number: int, verdict: str, body: bytes) -> None:
         """Of a dispatch, by its number."""
         if verdict == "moved":
-            to = self.trips[number].to
+            to = self.attempts[number].to
             self.node.decide(self.node.balancer.on_moved, self.id, number, to, exchange=self)
             return self.node.tidy(self)
-        if self.giving is self.trips[number]:
+        if self.giving is self.attempts[number]:
             self.given(verdict == "done")
             return self.node.tidy(self)
-        trip = self.trips[number]
+        attempt = self.attempts[number]
         if verdict in ("done", "unfit"):
-            self.answer(200 if verdict == "done" else 400, body, length=trip.length)
+            self.answer(200 if verdict == "done" else 400, body, length=attempt.length)
         self.node.decide(self.node.balancer.on_outcome, self.id, number, verdict, self.over, exchange=self)
-        if trip.load:
-            self.node.reported(trip)
+        if attempt.load:
+            self.node.reported(attempt)
         if self.last_word and not self.over:
             self.answer(503 if verdict in UNRUN else self.last_word)
         self.node.tidy(self)
@@ -173,10 +187,10 @@
         self.node.names.discard(self.name)
         self.node.reqs.pop(self.id, None)
 
-    def go_on(self, trip: Trip, giving: bool) -> None:
+    def go_on(self, attempt: Attempt, giving: bool) -> None:
         """It comes from elsewhere, with its dispatch, whose answer flows already or is awaited."""
-        self.trips, self.over = [trip], giving
-        self.giving = trip if giving else None
+        self.attempts, self.over = [attempt], giving
+        self.giving = attempt if giving else None
         self.node.reqs[self.id] = self
 
 
@@ -320,10 +334,10 @@
         if self.fleet and self.listed and not self.handover.waiting:
             self.pass_on("able")
 
-    def reported(self, trip: Trip) -> None:
+    def reported(self, attempt: Attempt) -> None:
         """A host told of its load with an answer."""
-        fields = loads(trip.load)
-        self.decide(self.balancer.on_report, trip.host, fields.get("tps"), fields.get("concurrent"))
+        fields = loads(attempt.load)
+        self.decide(self.balancer.on_report, attempt.host, fields.get("tps"), fields.get("concurrent"))
 
     def decide(self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None) -> None:
         """One call of the decisions. Where it fails, the req it was about is still answered."""
@@ -336,7 +350,7 @@
                 exchange.answer(500)
 
     def tidy(self, exchange: Exchange) -> None:
-        if exchange.over and all(trip.settled for trip in exchange.trips):
+        if exchange.over and all(attempt.settled for attempt in exchange.attempts):
             self.reqs.pop(exchange.id, None)
             if exchange.timer:
                 exchange.timer.cancel()
@@ -347,14 +361,14 @@
         exchange = self.reqs[req]
         # of a body that flows its last byte is still to come; no host is to wait for longer than the client
         due = min(exchange.due, self.loop.now + exchange.left)
-        trip = Trip(exchange.head, exchange.body, due, exchange, len(exchange.trips), host)
-        trip.flow, trip.hold = exchange.flow, self.hold
-        last = exchange.trips[-1] if exchange.trips else None
-        trip.asking = last is not None and last.ask and last.to == host
-        exchange.trips.append(trip)
+        attempt = Attempt(exchange.head, exchange.body, due, exchange, len(exchange.attempts), host)
+        attempt.flow, attempt.hold = exchange.flow, self.hold
+        last = exchange.attempts[-1] if exchange.attempts else None
+        attempt.asking = last is not None and last.ask and last.to == host
+        exchange.attempts.append(attempt)
         if exchange.over or self.loop.now >= exchange.due:
-            return self.loop.soon(trip.settle, "moot")
-        self.hosts.send(host, trip)
+            return self.loop.soon(attempt.settle, "moot")
+        self.hosts.send(host, attempt)
 
     def deny(self, req: int, pause: int) -> None:
         if req in self.reqs:
@@ -366,8 +380,8 @@
 
     def cancel(self, req: int, number: int) -> None:
         if req in self.reqs:
-            trip = self.reqs[req].trips[number]
-            self.loop.soon(trip.settle, trip.stop("cancelled").verdict)
+            attempt = self.reqs[req].attempts[number]
+            self.loop.soon(attempt.settle, attempt.stop("cancelled").verdict)
 
     def wake(self, delay: int, token: int) -> None:
         self.loop.later(delay, self.woke, token)
--- a/orchidgap/net/pools.py
+++ b/orchidgap/net/pools.py
@@ -6,9 +6,9 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Generic, TypeVar
 
+from orchidgap.net.attempt import Attempt
 from orchidgap.net.connection import Address, Fault, Reach, dial
 from orchidgap.net.loop import Loop
-from orchidgap.net.trip import Trip
 
 L = TypeVar("L")
 P = TypeVar("P", bound="Pool[Any]")
@@ -22,7 +22,7 @@
         self.links: dict[L, None] = {}
         self.retired = False  # draining or gone: what is under way may end, nothing else
 
-    def send(self, trip: Trip) -> None:
+    def send(self, attempt: Attempt) -> None:
         raise NotImplementedError
 
     def retire(self) -> None:
@@ -97,11 +97,11 @@
         for id in sorted(gone):
             self.pools.pop(id).retire()
 
-    def send(self, id: str, trip: Trip) -> None:
+    def send(self, id: str, attempt: Attempt) -> None:
         pool = self.pools.get(id)
         if pool is None or pool.retired:
-            return self.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
-        pool.send(trip)
+            return self.loop.soon(attempt.settle, Fault(Reach.UNSENT, "broken", "not listed").verdict)
+        pool.send(attempt)
 
     def dial(self, address: Address) -> socket.socket | Fault:
         """Idle connections make way where descriptors run short."""
--- a/orchidgap/resp/upstream.py
+++ b/orchidgap/resp/upstream.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 from orchidgap.net import pools
+from orchidgap.net.attempt import Attempt
 from orchidgap.net.connection import Address, Connection, Fault, Reach, broken
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.places import address_of, text_of
-from orchidgap.net.trip import Trip
 from orchidgap.resp import codec
 
 LINKS = 2  # to one host; a command goes on the one with fewer under way
@@ -48,12 +48,12 @@
 
 
 class Due:
-    """One answer that a link waits for: of a trip, of one given up, or of the ASKING before one."""
+    """One answer that a link waits for: of an attempt, of one given up, or of the ASKING before one."""
 
-    __slots__ = ("ends", "starts", "trip")
+    __slots__ = ("attempt", "ends", "starts")
 
-    def __init__(self, trip: Trip | None, starts: int, ends: int) -> None:
-        self.trip, self.starts, self.ends = trip, starts, ends
+    def __init__(self, attempt: Attempt | None, starts: int, ends: int) -> None:
+        self.attempt, self.starts, self.ends = attempt, starts, ends
 
 
 class Link:
@@ -72,28 +72,28 @@
         if hosts.secret:
             self.write(None, codec.command(b"AUTH", *hosts.secret))
 
-    def write(self, trip: Trip | None, *parts: bytes) -> None:
+    def write(self, attempt: Attempt | None, *parts: bytes) -> None:
         size = sum(map(len, parts))
         if not self.dues:
             self.heard_at = self.pool.hosts.loop.now
-        self.dues.append(Due(trip, self.written, self.written + size))
+        self.dues.append(Due(attempt, self.written, self.written + size))
         self.written += size
         self.conn.send(*parts)
 
-    def carry(self, trip: Trip) -> None:
-        trip.link = self
-        if trip.asking:  # on the same link, with nothing in between
+    def carry(self, attempt: Attempt) -> None:
+        attempt.link = self
+        if attempt.asking:  # on the same link, with nothing in between
             self.write(None, ASKING)
         if self.conn.open:
-            self.write(trip, trip.head)
+            self.write(attempt, attempt.head)
         else:
-            self.pool.hosts.loop.soon(trip.settle, Fault(Reach.UNSENT, "broken").verdict)
+            self.pool.hosts.loop.soon(attempt.settle, Fault(Reach.UNSENT, "broken").verdict)
 
-    def drop(self, trip: Trip) -> Reach:
+    def drop(self, attempt: Attempt) -> Reach:
         """Its answer, should it come, belongs to nobody; the others on this link go on."""
         for due in self.dues:
-            if due.trip is trip:
-                due.trip = None
+            if due.attempt is attempt:
+                due.attempt = None
                 # what waits to be written goes out all the same, so it may yet run
                 return Reach.UNSENT if self.conn.opening and self.forget(due) else Reach.WHOLE
         return Reach.WHOLE
@@ -126,36 +126,36 @@
             if not self.dues:
                 return self.ended("spoke unasked")  # what it would answer next cannot be trusted
             due = self.dues.popleft()
-            if due.trip:
-                self.told(due.trip, text)
+            if due.attempt:
+                self.told(due.attempt, text)
             if not self.conn.open:
                 return
         if self.reader.broken:
             self.ended("no proper answer")
 
-    def told(self, trip: Trip, text: bytes) -> None:
+    def told(self, attempt: Attempt, text: bytes) -> None:
         hosts = self.pool.hosts
         if sent_on := redirect(text):
             hosts.redirected(sent_on)
-            trip.to, trip.ask = text_of(sent_on.address), sent_on.ask
-            return trip.settle("moved", text)
+            attempt.to, attempt.ask = text_of(sent_on.address), sent_on.ask
+            return attempt.settle("moved", text)
         if text.startswith(NOT_NOW):
             hosts.doubted()
-            return trip.settle("full", text)
-        trip.settle("done", text)
+            return attempt.settle("full", text)
+        attempt.settle("done", text)
 
     def ended(self, what: str) -> None:
         """What had been written whole may have run; the rest never did."""
         opening, dues = self.conn.opening, list(self.dues)
         self.dues.clear()
         faults = [
-            (due.trip, Fault(self.reach(due), broken(what) if opening else "broken", what)) for due in dues
+            (due.attempt, Fault(self.reach(due), broken(what) if opening else "broken", what)) for due in dues
         ]
         self.close()
         self.pool.hosts.doubted()
-        for trip, fault in faults:
-            if trip:
-                self.pool.hosts.loop.soon(trip.settle, fault.verdict)
+        for attempt, fault in faults:
+            if attempt:
+                self.pool.hosts.loop.soon(attempt.settle, fault.verdict)
 
     def close(self) -> None:
         if self.timer:
@@ -170,18 +170,18 @@
 
     hosts: Hosts
 
-    def send(self, trip: Trip) -> None:
+    def send(self, attempt: Attempt) -> None:
         link = min(self.links, key=lambda at: len(at.dues), default=None)
         if link is None or link.dues and len(self.links) < LINKS:
             came = self.hosts.dial(self.address)
             if isinstance(came, Fault):
                 if link is None:
-                    return self.hosts.loop.soon(trip.settle, came.verdict)
+                    return self.hosts.loop.soon(attempt.settle, came.verdict)
             else:
                 link = Link(self, came)
                 self.add(link)
         assert link
-        link.carry(trip)
+        link.carry(attempt)
 
     def retire(self) -> None:
         self.retired = True
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,12 +15,12 @@
 from orchidgap.decisions.terms import ServiceTerms
 from orchidgap.decisions.watch import Watching
 from orchidgap.net import start
+from orchidgap.net.attempt import Attempt
 from orchidgap.net.connection import Fault, Reach
 from orchidgap.net.log import Log
 from orchidgap.net.loop import READ
 from orchidgap.net.places import decoded
 from orchidgap.net.serve import on_signal, read_anew
-from orchidgap.net.trip import Trip
 
 LIST = "/discovery/hosts"
 
@@ -82,8 +82,8 @@
 def test_a_late_read_whose_connection_never_came_up_is_sent_on_as_well():
     net = Net(3)
     client = net.ask()
-    trip = next(iter(net.node.reqs.values())).trips[0]
-    trip.link.conn.taken = trip.link.start  # as if nothing had been written yet
+    attempt = next(iter(net.node.reqs.values())).attempts[0]
+    attempt.link.conn.taken = attempt.link.start  # as if nothing had been written yet
     net.wait(600_000)
     assert net.verdicts[0] == "moot" and net.dialled[-1][0] == 109
     net.answers(net.far())
@@ -837,8 +837,8 @@
     short = [Fault(Reach.UNSENT, "short", "none left")]
     net.node.hosts.dialer = lambda address: short.pop() if short else net.dial(address)
     idle, dialled = net.node.hosts.count, len(net.dialled)
-    trip = Trip(b"GET / HTTP/1.1\r\n", b"", net.now + 10 ** 6, Nobody())
-    net.node.hosts.pools["c0"].dial(trip)
+    attempt = Attempt(b"GET / HTTP/1.1\r\n", b"", net.now + 10 ** 6, Nobody())
+    net.node.hosts.pools["c0"].dial(attempt)
     assert idle == net.node.hosts.count == 8 and len(net.dialled) == dialled + 1 and not short
 
 
--- a/tests/trial/planted.py
+++ b/tests/trial/planted.py
@@ -5,7 +5,7 @@
 
 from orchidgap.decisions.rules import FELL, Balancer, Dispatch, Origin, Placement
 from orchidgap.http1 import codec as http
-from orchidgap.net.trip import Trip
+from orchidgap.net.attempt import Attempt
 
 
 class Defect(Balancer):
@@ -246,8 +246,8 @@
         exchange = self.port.reqs[id]
         super().on_req(id, left, write, rule_set, key, tenant)
         if id % 30 == 0:
-            trip = Trip(exchange.head, exchange.body, exchange.due, Nobody())
-            self.port.loop.at(exchange.due - 50_000, self.port.hosts.send, self.placement.ring[0].id, trip)
+            attempt = Attempt(exchange.head, exchange.body, exchange.due, Nobody())
+            self.port.loop.at(exchange.due - 50_000, self.port.hosts.send, self.placement.ring[0].id, attempt)
 
 
 class HangsUp(Defect):
