A call to discovery that is met with silence is followed by the next within 0.1 s

What the agent gets at its return counts at once, so a gap of more than the grace is a break.

Silence is now followed by a call within 0.1 s, the second and later ones given up after 2 s; a wait follows only what failed or was refused. A silent watch and a lost call, or two lost calls, still fit within 6 s. The test of an outage of 60 s measures the longest time without an open call; it fails with the back-off put back.

--- a/orchidgap/http1/registry.py
+++ b/orchidgap/http1/registry.py
@@ -15,13 +15,17 @@
 from orchidgap.net.places import Entry, Place, decoded
 
 # What discovery tells is to be here within 6 s, whatever calls fail on the way. A watch that fell silent is
-# noticed in 4 s at most; then a call that is lost costs 1 s, and the wait for the next one 1 s at most.
+# noticed in 4 s at most; then a lost call costs 1 s, each behind it 2 s, and a failed one 1 s at most.
+# While discovery is down it is silent, and who has a call open when it is back hears at once: so silence is
+# followed by the next call as good as at once, and what fails or is refused by a wait.
 WATCH_MS = 3_000            # how long a watch may wait: silence beyond it is noticed
 GRACE = 1_000_000           # after which an answer that is due, or the rest of one, is held to be lost
 FIRST, LONGEST = 100_000, 1_000_000  # back-off
+GAP = 100_000               # between a call that was met with silence and the next, at most
 SHORTEST = 20_000           # a watch that tells nothing in less is not asked again at once
 LATEST = WATCH_MS * 1000 + 2 * GRACE  # for an answer to come whole, however small its pieces
 MOST = 1 << 22              # bytes of a list
+SILENCE = "silence"
 
 
 class Registry:
@@ -59,7 +63,8 @@
             # after a failure what was missed is asked for at once: a watch would take its whole wait to fail
             self.wait = 0 if self.failures else WATCH_MS
             path = f"{path}?after={self.version}&wait_ms={self.wait}"
-        self.set_timer(self.wait * 1000 + GRACE, self.ended, "silence")
+        grace = GRACE if self.failures < 2 else 2 * GRACE
+        self.set_timer(self.wait * 1000 + grace, self.ended, SILENCE)
         self.conn.send(f"GET {path} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
     def move(self, address: Address) -> None:
@@ -80,7 +85,7 @@
             self.out = False
             self.answered()
         elif self.loop.now < self.asked_at + LATEST:  # it comes in pieces
-            self.set_timer(GRACE, self.ended, "silence")
+            self.set_timer(GRACE, self.ended, SILENCE)
 
     def answered(self) -> None:
         reader = self.reader
@@ -111,6 +116,8 @@
         self.failures += 1
         if self.failures in (1, 10, 100):
             self.log("list lost", why=what, failures=self.failures)
+        if what == SILENCE:
+            return self.set_timer(self.rng.randrange(GAP // 10, GAP), self.ask)
         longest = min(LONGEST, FIRST << min(self.failures - 1, 6))
         self.set_timer(self.rng.randrange(longest // 2, longest), self.ask)
 
--- /dev/null
+++ b/tests/decisions/test_cold_fleet.py
@@ -0,0 +1,71 @@
+"""What all balancers together send to a cache that has just started: its share, cut to its warmth, and chance."""
+
+from math import sqrt
+from random import Random
+
+import pytest
+from desk import Desk
+
+CACHES, RATE, WARM = 10, 600, 10_000_000  # caches; reqs a second of all balancers; the warm-up of desk's settings
+COLD, STEP = 0.2, 10_000
+WINDOW = 1_500_000
+
+
+class Fleet:
+    def __init__(self, many, caches=CACHES):
+        self.desks, self.rng = [Desk(caches) for _ in range(many)], Random(many)
+        for i, desk in enumerate(self.desks):
+            desk.rng.seed(i)
+        self.sent = []  # when one was sent to c3
+
+    def plays(self, micros, rate=RATE, key=None):
+        for _ in range(micros // STEP):
+            for _ in range(rate * STEP // 1_000_000):
+                desk = self.rng.choice(self.desks)
+                req = desk.put(self.rng.randrange(1 << 30) if key is None or self.rng.random() > 0.1 else key)
+                for host in desk.sent(req):
+                    if host == "c3":
+                        self.sent.append(desk.now)
+                    desk.outcome(req, "done")
+                desk.port.did.clear()
+            for desk in self.desks:
+                desk.wait(STEP)
+
+    def starts(self):
+        """c3 has just started, and all are told so."""
+        now = self.desks[0].now
+        for desk in self.desks:
+            desk.list(["c3"], since=now)
+        self.sent.clear()
+        return now
+
+    def most_over(self, start, rate=RATE):
+        """By how much, at worst, a window holds more than the share of a cache of its warmth."""
+        worst = -1e9
+        for at in range(start, start + WARM - WINDOW, WINDOW // 3):
+            held = sum(at <= when < at + WINDOW for when in self.sent)
+            warmth = COLD + (1 - COLD) * (at + WINDOW - start) / WARM  # at its end, as it rises
+            n = rate / CACHES * warmth * WINDOW / 1e6
+            worst = max(worst, held - n - 2 * sqrt(n) - 2)
+        return worst
+
+
+@pytest.mark.parametrize("many", [1, 5, 20, 30, 200])
+@pytest.mark.parametrize("key", [None, 11])
+def test_a_cold_cache_bears_no_more_than_its_warmth_however_many_send(many, key):
+    fleet = Fleet(many)
+    fleet.plays(4_000_000, key=key)
+    start = fleet.starts()
+    fleet.plays(WARM, key=key)
+    assert fleet.most_over(start) <= 0, len(fleet.sent)
+    assert len(fleet.sent) > RATE / CACHES * COLD * WARM / 1e6 / 2, "it gets something to warm up on"
+
+
+@pytest.mark.parametrize("many", [20, 200])
+def test_a_burst_finds_a_cold_cache_with_no_chance_saved_up(many):
+    fleet = Fleet(many)
+    fleet.plays(2_000_000, rate=100)
+    start = fleet.starts()
+    fleet.plays(2_000_000, rate=100)  # little for a while, then much at once
+    fleet.plays(WARM - 2_000_000, rate=RATE)
+    assert fleet.most_over(start) <= 0
--- a/tests/http1/test_lists.py
+++ b/tests/http1/test_lists.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from loopback import Loopback, heard
 
-from orchidgap.http1.registry import GRACE, LATEST, LONGEST, SHORTEST, WATCH_MS
+from orchidgap.http1.registry import GAP, GRACE, LATEST, LONGEST, SHORTEST, WATCH_MS
 from orchidgap.net.node import FIRST_LIST
 
 TOLD = 6_000_000   # after discovery had it and could be reached, it counts as told
@@ -22,7 +22,7 @@
     def __init__(self, net, fates=()):
         self.net, self.fates = net, iter(fates)
         self.seq, self.change, self.told = 7, None, None
-        self.down = False
+        self.down = self.forgets = False  # whether calls that come while it is down are ever answered
         self.calls, self.open = [], []  # calls: when, how long they may wait, what became of them
 
     def look(self):
@@ -40,7 +40,7 @@
         path = text.split()[1]
         asked = dict(pair.split("=") for pair in path.partition("?")[2].split("&")) if "?" in path else {}
         wait = int(asked.get("wait_ms", 0)) * 1000
-        fate = "silent" if self.down else next(self.fates, "answer")
+        fate = next(self.fates, "answer") if not self.down else "silent" if self.forgets else "answer"
         self.calls.append((self.net.now, wait, fate))
         if fate == "reset":
             self.net.kill(far)
@@ -84,7 +84,8 @@
 def test_the_sums_fit_within_what_counts_as_told():
     silent_watch = WATCH_MS * 1000 + GRACE
     assert silent_watch + LONGEST // 8 + GRACE < TOLD, "a silent watch, and one lost call behind it"
-    assert GRACE + LONGEST + GRACE + LONGEST < TOLD, "two lost calls after a return, with the longest waits"
+    assert GRACE + LONGEST + 2 * GRACE + LONGEST < TOLD, "two lost calls after a return, with the longest waits"
+    assert 2 * (2 * GRACE + GAP) < TOLD and GAP < DRAIN, "two silent ones, and none leaves a gap that counts"
     assert SHORTEST < 200_000
 
 
@@ -109,8 +110,8 @@
     net = Watched(2)
     agent = Agent(net, ["answer"])
     agent.run(before)
-    agent.down = True
-    agent.open.clear()  # calls that wait are never answered
+    agent.down = agent.forgets = True
+    agent.open.clear()  # nor are those that wait
     agent.run(down_for)
     agent.fates = iter(fates)  # and one more call is lost
     agent.down = False
@@ -121,6 +122,22 @@
         far.close()
 
 
+def test_while_discovery_is_silent_a_call_is_open_nearly_always_so_its_return_is_heard_at_once():
+    net = Watched(2)
+    agent = Agent(net, ["answer"])
+    agent.run(100_000)
+    agent.down, since, longest = True, net.now, 0
+    for _ in range(60_000_000 // STEP):
+        agent.run(STEP)
+        since = net.now if net.node.registry.out else since
+        longest = max(longest, net.now - since)
+    assert 0 < longest <= GAP + STEP < DRAIN and len(agent.calls) < 40, "nor is it asked again and again"
+    agent.down = False  # the call that is open is answered now
+    agent.changes()
+    agent.run(DRAIN)
+    assert agent.told and agent.told - agent.change <= GAP + 2 * STEP
+
+
 def test_after_a_failed_call_what_was_missed_is_asked_for_at_once_and_then_watched():
     net = Watched(2)
     agent = Agent(net, ["answer", "reset"])
