A setting under one that is taken whole ends the start with one plain line

Found by laying odd values in each place of a whole file (58 places, 22 values each): `client-timeout`, `response-target` and `most-dispatches` of 0.5 were over 0, and then cut to 0: no req could be sent, or its limit was divided by a target of nothing. No other place let through what could not be gone by. The test fails on three places without the mend.

--- a/orchidgap/decisions/terms.py
+++ b/orchidgap/decisions/terms.py
@@ -94,6 +94,12 @@
                               f"setting {path} is {value:g}, and must not be under 0")
             return value
 
+        def whole(path: str, default: float) -> int:
+            value = int(number(path, default, over=True))
+            if not value:  # what it would be divided by, or how often a req could be sent
+                raise BadTerm(f"setting {path} is {pairs[path]}, and must be 1 or more")
+            return value
+
         def word(path: str, default: str, among: tuple[str, ...]) -> str:
             if (value := pairs.get(path, default)) not in among:
                 raise BadTerm(f"setting {path} is {value!r}, and must be one of {', '.join(among)}")
@@ -104,17 +110,17 @@
 
         rule_sets: dict[str, RuleSet] = {}
         need("rule-sets.count")
-        for i in range(int(number("rule-sets.count", 0, over=True))):
+        for i in range(whole("rule-sets.count", 0)):
             at = f"rule-sets.{i}."
             need(at + "client-timeout")
-            timeout = int(number(at + "client-timeout", 0, over=True))
+            timeout = whole(at + "client-timeout", 0)
             need(at + "effect")
             effect = word(at + "effect", "", EFFECTS)
             name = need(at + "name")
             if not name or name in rule_sets:
                 raise BadTerm(f"setting {at}name is {name!r}, and must be a name of its own")
             rule_sets[name] = RuleSet(
-                int(number(at + "response-target", timeout, over=True)),
+                whole(at + "response-target", timeout),
                 effect == "retryable", effect == "dedup",
                 word(at + "group", "cell", GROUPS), int(number(at + "repeat-window", 0)), timeout)
         tenants: dict[str, Tenant] = {}
@@ -127,7 +133,7 @@
         return cls(
             rule_sets, tenants, max(1, int(number("instances", 1))), kinds[kind] if aside else "",
             pairs.get("registry-mode") == "subscribe", int(number("guarantees.ask-within", 10_000_000)),
-            int(number("ceilings.most-dispatches", 3, over=True)),
+            whole("ceilings.most-dispatches", 3),
             yes("ceilings.may-cancel"), yes("ceilings.may-duplicate"),
             int(number("ceilings.max-retry-after", 0)) if yes("ceilings.retry-after") else 0,
             number("guarantees.cold-from", 0.1), int(number("guarantees.warm-after", 30_000_000)),
--- a/tests/net/test_starting.py
+++ b/tests/net/test_starting.py
@@ -3,6 +3,7 @@
 import signal
 
 import orjson
+import pytest
 from desk import Net
 
 from orchidgap.net import serve, start
@@ -49,3 +50,54 @@
             signal.signal(number, handler)
     assert nodes[0].knows("later") and not nodes[0].knows("read")
     nodes[0].clients.listener.close()
+
+
+# --- another customer's settings
+
+WHOLE = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "ff",
+         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+         "known": {"seq": 1, "whole": True, "hosts": [Net.entry(0)]},
+         "settings": {
+             "kinds": ["cache", "origin"], "instances": 3, "family-info": {"mode": "aside", "origin-kind": 1},
+             "registry-mode": "automatic", "weights": "off", "report": {"how": "off", "fields": []},
+             "ceilings": {"conn-idle": 7, "connect-timeout": 5, "most-dispatches": 3, "may-cancel": True,
+                          "may-duplicate": False, "retry-after": True, "max-retry-after": 5},
+             "guarantees": {"ask-within": 5, "cold-from": 0.1, "warm-after": 5},
+             "customers": [{"name": "x", "share": 0.5}],
+             "rule-sets": [{"name": "read", "effect": "retryable", "client-timeout": 900, "response-target": 5,
+                            "group": "all", "repeat-window": 3}]}}
+ODD = (None, -1, 0, 1e308, "", "x", "nan", "inf", "-0", "1e999", "0" * 40, True, False, [], {}, [1], [[]], {"a": 1},
+       10 ** 18, 0.5, "\0")
+MISSING = object()
+
+
+def places(tree, path=()):
+    for name, branch in tree.items() if isinstance(tree, dict) else enumerate(tree) if isinstance(tree, list) else ():
+        yield (*path, name)
+        yield from places(branch, (*path, name))
+
+
+def laid(tree, path, value):
+    """The tree with this in that place."""
+    name, *rest = path
+    copy = list(tree) if isinstance(tree, list) else dict(tree)
+    if rest:
+        copy[name] = laid(copy[name], rest, value)
+    elif value is MISSING:
+        del copy[name]
+    else:
+        copy[name] = value
+    return copy
+
+
+@pytest.mark.parametrize("path", list(places(WHOLE)), ids=lambda path: ".".join(map(str, path)))
+def test_whatever_stands_in_a_setting_it_can_be_gone_by_or_is_one_plain_line(path):
+    for value in (*ODD, MISSING):
+        try:
+            station = start.parse(orjson.dumps(laid(WHOLE, path, value)), "file")
+        except start.BadStart as trouble:
+            assert str(trouble).startswith("file: ") and "\n" not in str(trouble), (path, value)
+        else:
+            terms = station.terms
+            assert min(terms.target, terms.longest, terms.instances, terms.max_dispatches) >= 1, (path, value)
+            assert min(station.connect_within, station.idle_for) >= 1 and station.sockets >= 64, (path, value)
