A new process tells the older one that it serves before it says so in its log

One run of all tests of the last seven failed at test_a_process_takes_the_place_of_another_under_load; alone it passed 16 of 16. The line was written first: who reads it and ends the older process at once has that leave as if alone. The failed run's own lines were not kept, so that this was its cause is likely, not seen.

--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -443,12 +443,12 @@
         """To the next state, where the event leads to one."""
         took = self.loop.now - self.life.since
         if self.life.on(event, self.loop.now):
+            if self.life.state is State.SERVING:
+                self.handover.serves()  # before it is said: who reads of it may tell the older process to end
             self.note(self.life.state.value, reqs=len(self.reqs), clients=len(self.clients.open),
                       after_ms=took // 1000)
             if self.life.means.last:
                 self.attend(self.life.changes)
-            elif self.life.state is State.SERVING:
-                self.handover.serves()
 
     def attend(self, change: int) -> None:
         """While clients are let go: see who is left, until the state is another one."""
