Loop: a timer that is called late is logged, with what tells why

A request was answered late once under load, and no log said where the time had gone. A turn that calls a timer more than 100 ms late now writes 'turn late' with how late the turn began, how long its calls took and how much processor time the thread used: a busy process, a stopped one and one without a core differ in these. Balancers and control.

--- a/orchidgap/control/process.py
+++ b/orchidgap/control/process.py
@@ -178,6 +178,7 @@
     config = read_process_config(path)
     log = EventLog(config.name)
     loop = Loop(on_error=log.exception)
+    loop.on_late_turn = log.late_turn
     store = _open_store(config.folder, make_store, log)
     others = {
         name: RpcClient(loop, address, ANSWER_TIMEOUT_US)
--- a/orchidgap/net/event_log.py
+++ b/orchidgap/net/event_log.py
@@ -11,6 +11,8 @@
 
 import orjson
 
+from orchidgap.net.loop import LateTurn
+
 MAX_LINE_BYTES = 4_000  # what a pipe that is ready takes without blocking
 MAX_ERROR_LENGTH = 200
 TRACEBACK_FRAMES = 4
@@ -46,6 +48,18 @@
         except OSError:
             self.dropped += 1
 
+    def late_turn(self, turn: LateTurn) -> None:
+        """Write that the loop was late for a timer, and what tells why."""
+        self(
+            "turn late",
+            late_ms=turn.late_us // 1000,
+            began_late_ms=turn.began_late_us // 1000,
+            calls_ms=turn.calls_us // 1000,
+            window_ms=turn.window_us // 1000,
+            cpu_ms=turn.cpu_us // 1000,
+            due=turn.callback,
+        )
+
     def exception(self, error: Exception) -> None:
         """Write an error in the program itself, and where it is."""
         frames = traceback.extract_tb(error.__traceback__)[-TRACEBACK_FRAMES:]
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from heapq import heappop, heappush
 from typing import Any
 
@@ -15,6 +16,8 @@
 MAX_WAIT_US = 1_000_000
 IMMEDIATE_WAIT_US = 1_000  # a wait shorter than this found something that was there before
 READ_BUFFER_BYTES = 1 << 16
+LATE_TURN_US = 100_000  # a timer that is called so long after it was due is told of
+CPU_SAMPLE_INTERVAL_US = 100_000
 
 
 def system_clock() -> Callable[[], int]:
@@ -23,6 +26,11 @@
     return lambda: (time.monotonic_ns() + offset_ns) // 1000
 
 
+def thread_cpu_us() -> int:
+    """Processor time that this thread has used, in microseconds."""
+    return time.thread_time_ns() // 1000
+
+
 def boot_clock() -> int:
     """Microseconds that go on while the machine sleeps, and never jump."""
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1000
@@ -44,6 +52,30 @@
         self.args = ()
 
 
+@dataclass(frozen=True, slots=True)
+class LateTurn:
+    """A turn that called a timer long after it was due.
+
+    A turn that began late, with little processor time used in the window, belongs to a process that
+    was stopped, waited for a disk, or got no core. One whose own calls took long was busy.
+
+    Attributes:
+        late_us: How long after it was due the timer was called.
+        began_late_us: How much of that had passed when the turn began.
+        calls_us: How long the turn's calls for sockets took before the timer's.
+        window_us: How long ago the processor time was looked at last.
+        cpu_us: Processor time that the loop's thread has used since.
+        callback: The name of what was due.
+    """
+
+    late_us: int
+    began_late_us: int
+    calls_us: int
+    window_us: int
+    cpu_us: int
+    callback: str
+
+
 class Loop:
     """Calls back for sockets that are ready and for timers that are due.
 
@@ -52,6 +84,7 @@
         ready_since_us: Nothing that is ready in this turn was ready before.
         buffer: What a connection reads stands here until the next read.
         longest_turn_us: The longest turn, without its wait.
+        on_late_turn: Told of a turn that was late for a timer.
 
     >>> loop = Loop(clock=iter(range(0, 10_000, 100)).__next__)
     >>> _ = loop.call_later(150, print, "due")
@@ -81,6 +114,9 @@
         self.last_poll_us = self.now
         self.ready_since_us = self.now
         self.buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+        self.on_late_turn: Callable[[LateTurn], None] | None = None
+        self._cpu_sampled_at_us = self.now
+        self._cpu_sample_us = thread_cpu_us()
 
     def watch(
         self,
@@ -143,6 +179,8 @@
         for key, mask in events:
             self.run_callback(key.data, mask)
         self.now = self.clock()
+        if self.on_late_turn:
+            self._watch_lateness(self.on_late_turn)
         while self.timers and self.timers[0][0] <= self.now:
             _, _, timer = heappop(self.timers)
             if timer.callback is not None:
@@ -154,6 +192,25 @@
         if turn_us > self.longest_turn_us:
             self.longest_turn_us = turn_us
 
+    def _watch_lateness(self, on_late_turn: Callable[[LateTurn], None]) -> None:
+        """Tell of a timer that is called long after it was due."""
+        while self.timers and self.timers[0][2].callback is None:
+            heappop(self.timers)
+        if self.timers and self.now - self.timers[0][0] > LATE_TURN_US:
+            due_us, _, timer = self.timers[0]
+            late_turn = LateTurn(
+                late_us=self.now - due_us,
+                began_late_us=max(0, self.last_poll_us - due_us),
+                calls_us=self.now - self.last_poll_us,
+                window_us=self.now - self._cpu_sampled_at_us,
+                cpu_us=thread_cpu_us() - self._cpu_sample_us,
+                callback=getattr(timer.callback, "__qualname__", repr(timer.callback)),
+            )
+            self.run_callback(on_late_turn, late_turn)
+        if self.now - self._cpu_sampled_at_us >= CPU_SAMPLE_INTERVAL_US:
+            self._cpu_sampled_at_us = self.now
+            self._cpu_sample_us = thread_cpu_us()
+
     def run_callback(self, callback: Callable[..., None], *args: Any) -> None:
         """Make one call; where it fails, all others are still made."""
         try:
--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -75,6 +75,7 @@
     balancer_config = config.read(path)
     log = EventLog(balancer_config.name)
     loop = Loop(on_error=log.exception)
+    loop.on_late_turn = log.late_turn
     if balancer_config.shadow_settings:
         make_balancer = partial(ShadowBalancer, balancer_config.shadow_settings)
     protocol = protocol_for(balancer_config)
