Fault tests: a broken run keeps its files, and tells its breaches with the log around them

Two drills failed once each beside load; their messages and logs were gone with their folders. A run that breaks a rule now keeps its folder, names it in the verdict (folder) and prints the first breaches with the faults and all processes' lines 2 s around each.

--- a/orchidgap/fault_tests/commands.py
+++ b/orchidgap/fault_tests/commands.py
@@ -14,6 +14,7 @@
 import orjson
 
 from orchidgap.errors import ScenarioError
+from orchidgap.fault_tests.breach_story import tell_breaches
 from orchidgap.fault_tests.cluster import Cluster
 from orchidgap.fault_tests.plan import FaultTest, read
 from orchidgap.fault_tests.planted_defects import DEFECTS
@@ -21,7 +22,6 @@
 from orchidgap.simulation.baselines import PROCESS_POLICIES
 from orchidgap.simulation.plan import MAX_BALANCERS
 
-MAX_SHOWN_BREACHES = 12
 DEFAULT_POLICY = "orchidgap"
 EXIT_KEPT = 0
 EXIT_BROKEN = 1
@@ -43,9 +43,7 @@
         print(f"orchidgap: {error}", file=sys.stderr)
         return EXIT_BAD_PLAN
     out = Path(arguments["--out"]) if arguments["--out"] else None
-    verdict, cluster = play(test, seed, defect, out, arguments["--disk"] or "", policy)
-    for rule, at_s, text in cluster.referee.breaches[:MAX_SHOWN_BREACHES]:
-        print(f"{rule} at {at_s:.3f} s: {text}", file=sys.stderr)
+    verdict, _ = play(test, seed, defect, out, arguments["--disk"] or "", policy)
     print(orjson.dumps(verdict).decode())
     return EXIT_KEPT if verdict["verdict"] == "kept" else EXIT_BROKEN
 
@@ -85,6 +83,10 @@
 ) -> tuple[dict[str, Any], Cluster]:
     """Run a fault test.
 
+    The files of a run that broke a rule are kept, in `out` or in a folder of its own below the
+    system's for temporary files. The verdict names it as `folder`, and the first breaches are told
+    on standard error. Those of a planted defect, which is to break a rule, are kept only in `out`.
+
     Args:
         test: The plan.
         seed: Of all that is drawn, in place of the plan's own.
@@ -98,8 +100,6 @@
     """
     cluster = Cluster(test, seed, defect, disk, policy)
     runner = FaultTestRunner(cluster)
-    if out is None:
-        return runner.run(before_close=lambda: None), cluster
     # copied to the disk only when all is over: `out` may be slow, and the test goes on meanwhile
     with tempfile.TemporaryDirectory() as copied:
 
@@ -108,9 +108,19 @@
 
         try:
             verdict = runner.run(before_close=copy_files)
-        finally:
+        except BaseException:
+            if out is not None:
+                shutil.copytree(copied, out, dirs_exist_ok=True, symlinks=True)
+            raise
+        if verdict["verdict"] == "broken":
+            print(tell_breaches(cluster.referee, Path(copied)), file=sys.stderr)
+            if out is None and not defect:
+                out = Path(tempfile.mkdtemp(prefix=f"orchidgap-drill-{test.plan.name}-"))
+        if out is not None:
+            verdict |= {"folder": str(out)}
+        if out is not None:
             shutil.copytree(copied, out, dirs_exist_ok=True, symlinks=True)
-    _write_report(out, verdict, cluster)
+            _write_report(out, verdict, cluster)
     return verdict, cluster
 
 
