Simulation on sockets: what clients and hosts received is timed by the kernel

The fault test's one process plays clients, hosts, discovery and relays, and took a read's time from its own turn: a stop of that process counted as a balancer's delay. Answers and attempts now carry the kernel's receive time, writes the time of the write and not of the turn, and an answer that was given up is judged once all attempts are known, as a host may have yet to read the one that the balancer waited for. Bounds and slack are the same; a run on the virtual clock is the same to the trace. A turn of the fault test that is late is told among its faults.

--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -25,6 +25,7 @@
 from orchidgap.fault_tests.rollout_checker import STUCK, RolloutChecker
 from orchidgap.fault_tests.version_clients import VersionClients
 from orchidgap.net.addresses import Address, format_address
+from orchidgap.net.loop import LateTurn
 from orchidgap.simulation.balancer_instance import BalancerInstance, Pause
 from orchidgap.simulation.clients import Callers
 from orchidgap.simulation.environment import Decider
@@ -94,6 +95,7 @@
         ]
         self.logs = ProcessLogs(self.launcher.log_path)
         self._add_relays()
+        self.loop.on_late_turn = self._on_late_turn
 
     @cached_property
     def directory(self) -> Path:
@@ -211,6 +213,14 @@
 
         self.loop.call_later(SLACK_US, report_unless_dead)
 
+    def _on_late_turn(self, turn: LateTurn) -> None:
+        """Note that this process stood still: hosts, clients and relays did, and no balancer."""
+        text = (
+            f"the fault test itself was {turn.late_us // 1000} ms late "
+            f"({turn.cpu_us // 1000} ms of CPU, its calls {turn.calls_us // 1000} ms)"
+        )
+        self.referee.record_event(self.loop.now, text)
+
     # --- configurations
 
     def settings_of_version(self, number: int) -> dict[str, Any]:
--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -50,12 +50,12 @@
         self.used = 0
         self.left = b""  # of a large req, what is yet to be written
         self.pace = 0  # bytes a second of a slow side, 0 for as fast as it goes
-        self.conn = Connection(callers.loop, sock, self, opening=opening)
+        self.conn = Connection(callers.loop, sock, self, opening=opening, stamped=True)
         callers.links[post][self] = None
 
     def carry(self, ask: ClientAttempt, message: tuple[bytes, ...]) -> None:
         self.ask, self.message = ask, message
-        ask.write_started_us = self.clients.loop.now
+        ask.write_started_us = self.clients.loop.clock()
         self.used += 1
         bulk, rng = self.clients.plan.large_bodies, self.clients.rng
         slow = bool(bulk.slow_reader_ratio) and rng.random() < bulk.slow_reader_ratio
@@ -95,7 +95,8 @@
     def written(self) -> None:
         ask = self.ask
         if ask:
-            now = self.clients.loop.now
+            # the turn may have begun long before this write
+            now = self.clients.loop.clock()
             ask.arrived_at_us, ask.deadline_us = (
                 now,
                 now + milliseconds_to_us(ask.operation.request_class.client_timeout_ms),
@@ -108,12 +109,14 @@
 
     def received(self, view: memoryview) -> None:
         reader = self.reader
+        # the kernel's time: this process may have stood still before it read
+        received_at_us = self.conn.received_at_us
         if self.ask is None:
-            self.clients.environment.referee.on_extra_bytes(None, self.clients.loop.now)
+            self.clients.environment.referee.on_extra_bytes(None, received_at_us)
             return self.close()
         reader.feed(view)
         if not self.ask.first_answer_byte_us:
-            self.ask.first_answer_byte_us = self.clients.loop.now
+            self.ask.first_answer_byte_us = received_at_us
         if self.left:  # answered before it had sent all: what is left does not matter any more
             self.left, self.conn.on_drained = b"", None
             self.written()
@@ -129,11 +132,11 @@
             body, status = reader.message.body, reader.message.status
             pause = parse_seconds(reader.message.fields.get(b"retry-after", b"")) or 0
             extra, lasts = reader.has_excess_data, reader.message.keep_alive
-            self.clients.environment.referee.on_answer(ask, status, body, self.clients.loop.now)
+            self.clients.environment.referee.on_answer(ask, status, body, received_at_us)
             if status == 404:
                 self.clients.unknown(ask)
             if extra:
-                self.clients.environment.referee.on_extra_bytes(ask, self.clients.loop.now)
+                self.clients.environment.referee.on_extra_bytes(ask, received_at_us)
             reader.reset()
             if lasts and not extra:
                 self.clients.idle[self.post].append(self)
--- a/orchidgap/simulation/invariant_checker.py
+++ b/orchidgap/simulation/invariant_checker.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from hashlib import blake2b
-from typing import Any
+from typing import Any, NamedTuple
 
 from hdrh.histogram import HdrHistogram
 
@@ -37,6 +37,24 @@
 COLD_MISS_LOAD_RATIO = 0.4
 
 
+class FailedAnswer(NamedTuple):
+    """A final answer other than 200, as its client saw it.
+
+    Attributes:
+        attempt: Of which client.
+        status: What it was answered.
+        at_us: When the answer's last byte came.
+        who: The client and its balancer, for a breach's text.
+        host_was_silent: Some host said nothing then, so that what is in flight there is not seen.
+    """
+
+    attempt: ClientAttempt
+    status: int
+    at_us: int
+    who: str
+    host_was_silent: bool
+
+
 class InvariantChecker:
     """Hears what the peers saw, as it happens, and counts the breaches of each rule.
 
@@ -66,6 +84,8 @@
 
         self.breach_counts = dict.fromkeys(RULES, 0)
         self.breaches: list[tuple[str, float, str]] = []  # rule, seconds, description
+        # on real sockets, what is judged once all that was under way has been read
+        self.failed_answers: list[FailedAnswer] = []
         self.digest = blake2b(digest_size=8)
         self.latency = HdrHistogram(1, 60_000_000, 3)
         self.useful_work_us = 0
@@ -162,18 +182,39 @@
             self.aborted += 1
         second = self._second_of(at_us)
         self.rejections_by_second[second] = self.rejections_by_second.get(second, 0) + 1
+        host_was_silent = self.tolerance_us > 0 and at_us < self.silent_host_until_us
+        failed = FailedAnswer(attempt, status, at_us, who, host_was_silent)
+        # a host may have yet to read the attempt that this balancer has waited for
+        if self.tolerance_us:
+            self.failed_answers.append(failed)
+        else:
+            self._judge_waiting(failed)
+
+    def judge_failed_answers(self) -> None:
+        """Judge what could only be judged with all attempts known; called at the end."""
+        failed_answers = self.failed_answers
+        self.failed_answers = []
+        for failed in failed_answers:
+            self._judge_waiting(failed)
+
+    def _judge_waiting(self, failed: FailedAnswer) -> None:
+        """A request that was given up is answered at once.
+
+        An attempt that ended after the answer was in flight when it was given.
+        """
+        attempt = failed.attempt
         objective_us = milliseconds_to_us(attempt.operation.request_class.latency_objective_ms)
         idle_since_us = max(attempt.last_attempt_ended_us, attempt.arrived_at_us + objective_us)
-        waited_us = at_us - idle_since_us
+        waited_us = failed.at_us - idle_since_us
         in_flight = any(sent.in_flight for sent in attempt.host_attempts)
         if in_flight or waited_us <= self.max_connect_us + self.tolerance_us:
             return
-        # on real sockets what is in flight at a host that says nothing is not seen
-        if not (self.tolerance_us and at_us < self.silent_host_until_us):
+        if not failed.host_was_silent:
             self.record_breach(
                 "late",
-                at_us,
-                f"{who}: given up, and {status} held back for {waited_us / 1e3:.0f} ms",
+                failed.at_us,
+                f"{failed.who}: given up, and {failed.status} held back for "
+                f"{waited_us / 1e3:.0f} ms",
             )
 
     def _judge_rejection(self, attempt: ClientAttempt, at_us: int, who: str) -> None:
--- a/orchidgap/simulation/servers.py
+++ b/orchidgap/simulation/servers.py
@@ -79,15 +79,16 @@
         self.flow: HostAttempt | None = None  # whose answer is being given, piece by piece
         self.left, self.chunked = b"", False
         self.beyond = False  # it has no room for this one: it says so once, and closes
-        self.conn = Connection(store.loop, sock, self)
+        self.conn = Connection(store.loop, sock, self, stamped=True)
 
     def opened(self) -> None:
         pass
 
     def received(self, view: memoryview) -> None:
-        reader, now = self.reader, self.store.loop.now
+        reader = self.reader
         if not reader.started:
-            self.first_at = now
+            # the kernel's time: this process may have stood still before it read
+            self.first_at = self.conn.received_at_us
         reader.feed(view)
         if self.job:
             return  # more than one at a time: what it says next cannot be told apart
@@ -97,7 +98,7 @@
             self.asked()
 
     def asked(self) -> None:
-        store, fields, now = self.store, self.reader.message.fields, self.store.loop.now
+        store, fields, now = self.store, self.reader.message.fields, self.conn.received_at_us
         id = fields.get(b"request-id", b"")
         if self.reader.message.target in (b"/alive", b"/metrics/load") or not id:
             return self.say(MISS)
@@ -382,7 +383,7 @@
         if self.cut.get(link.who):
             self.held.append(job)
             return
-        referee, now = self.environment.referee, self.loop.now
+        referee, now = self.environment.referee, self.loop.clock()
         body = b""
         if outcome == "done":
             self.count += 1
@@ -414,7 +415,7 @@
         link, head = job.link, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % len(body)
         good = how in ("behind", "ahead")
         self.environment.referee.on_attempt_settled(
-            job.arrival, "done" if good else "spoilt", self.loop.now, body if good else b""
+            job.arrival, "done" if good else "spoilt", self.loop.clock(), body if good else b""
         )
         link.job = None
         link.say(
