--- /dev/null
+++ b/tests/simulation/test_kernel_times.py
@@ -0,0 +1,80 @@
+"""On real sockets a rule is judged by when bytes came, not by when the simulation's process got to read them."""
+
+import random
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from orchidgap.net.dialing import dial
+from orchidgap.net.loop import Loop
+from orchidgap.simulation.clients import CallerLink
+from orchidgap.simulation.invariant_checker import InvariantChecker
+from orchidgap.simulation.observations import ClientAttempt, Operation
+from orchidgap.simulation.plan import Plan, RequestClassSpec
+from orchidgap.simulation.simulation import LOOPBACK_SLACK_US
+
+DENIED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+PAUSE_S = 0.7  # longer than four connects may take
+
+
+@pytest.fixture
+def exchange():
+    """A client's request at a balancer's listener, both in this process."""
+    loop = Loop()
+    plan = Plan(name="pause")
+    referee = InvariantChecker(plan, loop.now, LOOPBACK_SLACK_US)
+    environment = SimpleNamespace(
+        referee=referee,
+        incarnation_of=lambda name: 1,
+        max_attempts_at=lambda now: 4,
+        client_one_way_us=lambda: 0,
+    )
+    clients = SimpleNamespace(
+        loop=loop,
+        plan=plan,
+        rng=random.Random(0),
+        environment=environment,
+        links={"b0": {}},
+        idle={"b0": []},
+        overdue=lambda link, ask: None,
+        heard=lambda ask, status, pause: None,
+    )
+    request_class = RequestClassSpec(
+        share=1.0, work_ms=10.0, name="read", latency_objective_ms=1.0, client_timeout_ms=2000.0
+    )
+    operation = Operation(0, request_class, "", 0, 1, loop.now)
+    ask = ClientAttempt(b"q1", operation, "b0", 1, 0, 0)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        link = CallerLink(clients, "b0", dial(listener.getsockname()), True)
+        link.carry(ask, (b"GET /read/k1 HTTP/1.1\r\nHost: service\r\n\r\n",))
+        balancer, _ = listener.accept()
+        while not ask.arrived_at_us:
+            loop.run_once(10_000)
+        balancer.recv(1 << 12)
+        with balancer:
+            yield SimpleNamespace(loop=loop, referee=referee, ask=ask, balancer=balancer)
+        link.conn.close()
+
+
+def read_answer(exchange):
+    while not exchange.ask.status:
+        exchange.loop.run_once(10_000)
+    exchange.referee.judge_failed_answers()
+    return [text for rule, _, text in exchange.referee.breaches if rule == "late"]
+
+
+def test_a_pause_of_the_simulation_is_not_held_against_the_balancer(exchange):
+    # A drill beside load was late once: an answer that was there had not been read for half a second.
+    exchange.balancer.sendall(DENIED)
+    time.sleep(PAUSE_S)
+    assert read_answer(exchange) == []
+
+
+def test_an_answer_that_the_balancer_held_back_is_late(exchange):
+    time.sleep(PAUSE_S)
+    exchange.balancer.sendall(DENIED)
+    late = read_answer(exchange)
+    assert len(late) == 1
+    assert "held back" in late[0]
