Connections and requests are counted by how they end, so that they add up

A request that a client was never answered could not be followed: no count said whether it had come at all. TrafficCounts has one count for each way in which a client's connection or a request ends, and what was rejected before it was a request; the event 'traffic' at the end and 'orchidgap admin counts' tell them. Connections that are closed here with bytes nobody read are counted too.

--- a/orchidgap/admin/protocol.py
+++ b/orchidgap/admin/protocol.py
@@ -13,6 +13,7 @@
 DRAIN = "quiesce"
 RESUME = "resume"
 SHADOW_REPORT = "watch"
+COUNT_REPORT = "counts"
 
 SUCCEEDED = "SUCCESS"
 FAILED = "FAILURE"
--- a/orchidgap/arguments.py
+++ b/orchidgap/arguments.py
@@ -12,7 +12,7 @@
 Usage:
   orchidgap serve [--config=FILE]
   orchidgap check [--config=FILE]
-  orchidgap admin (health | quiesce | resume | watch) [--addr=ADDR] [--config=FILE]
+  orchidgap admin (health | quiesce | resume | watch | counts) [--addr=ADDR] [--config=FILE]
   orchidgap control --config=FILE [--new]
   orchidgap change (check | propose) FILE [--at=ADDRS] [--id=ID] [--again] [--wait=N] [--json]
   orchidgap change strike NAME [--at=ADDRS] [--json]
@@ -31,7 +31,8 @@
   serve     Serve until told to stop (SIGTERM or SIGINT); SIGHUP has the configuration read anew.
   check     Read the configuration as serve would, say what it holds, and end.
   admin     Ask a running balancer whether it serves, to drain, to serve again, or what the settings that it
-            watches would have decided otherwise; exit code 1 on FAILURE.
+            watches would have decided otherwise, or how connections and requests came and ended; exit code 1 on
+            FAILURE.
   control   Serve as a control process, which keeps the version of policy that counts; --new begins with none.
   change    Have a new version of policy checked, proposed and decided; see who runs what and who is waited
             for; strike off by name a balancer that will not come back.
@@ -69,7 +70,7 @@
   --seconds=N    How long each measurement takes [default: 5].
 """  # noqa: E501 - printed as it stands
 
-OPERATOR_CALLS = ("health", "quiesce", "resume", "watch")
+OPERATOR_CALLS = ("health", "quiesce", "resume", "watch", "counts")
 CHANGE_COMMANDS = ("check", "propose", "status", "history", "strike")
 SIMULATION_COMMANDS = ("try", "trial", "compare", "hunt", "saturate", "report")
 
--- a/orchidgap/control/guarded_node.py
+++ b/orchidgap/control/guarded_node.py
@@ -13,6 +13,7 @@
 from orchidgap.net.config import BalancerConfig
 from orchidgap.net.node import Node
 from orchidgap.net.request_handler import Responder
+from orchidgap.net.traffic_counts import RequestEnd
 
 SERVICE_UNAVAILABLE = 503
 
@@ -64,6 +65,8 @@
         # a policy that does not have the request class.
         known = request_class in self.config.settings.request_classes
         if not self.guard.may_serve() or not known:
+            self.traffic_counts.requests_arrived += 1
+            self.traffic_counts.on_request_end(RequestEnd.NOT_PERMITTED)
             responder.answer(SERVICE_UNAVAILABLE, retry_after_us=self.guard.retry_after_us())
             return
         super().handle_request(
--- a/orchidgap/http1/request_migration.py
+++ b/orchidgap/http1/request_migration.py
@@ -67,7 +67,7 @@
     received = resume_request(client.reader.message)
     if not received:
         return None
-    return MigratingRequest([PARTIAL_REQUEST], received, [client.conn.sock], client.close)
+    return MigratingRequest([PARTIAL_REQUEST], received, [client.conn.sock], client.detach)
 
 
 def export_streaming_response(client: Http1ClientConnection) -> MigratingRequest | None:
@@ -187,30 +187,30 @@
         Exception: the message makes no sense (ValueError and the like); all connections are
             closed then.
     """
-    ends: list[Http1ClientConnection | HostConnection] = []
+    closers: list[Callable[[], None]] = []  # of the connections that were taken over
     try:
         client = add_client(node, socks[0])
-        ends.append(client)
+        closers.append(client.detach)
         if words[0] == PARTIAL_REQUEST:
             node.clients.await_request(client)
             client.received(memoryview(bytearray(raw)))
         elif words[0] == STREAMING_RESPONSE:
             response = StreamingResponse.from_wire(words[1])
             connection = add_host_connection(node, response.host, response.address, socks[1])
-            ends.append(connection)
+            closers.append(connection.close)
             resume_response(node, response, raw, client, connection)
             read_if_open(connection)
         else:
             upload = StreamingUpload.from_wire(words[1])
             connection = add_host_connection(node, upload.host, upload.address, socks[1])
-            ends.append(connection)
+            closers.append(connection.close)
             resume_upload(node, upload, raw, client, connection)
             read_if_open(connection)
         client.conn.on_ready(READ)
     except Exception:
-        for end in ends:
-            end.close()
-        for sock in socks[len(ends) :]:
+        for close in closers:
+            close()
+        for sock in socks[len(closers) :]:
             sock.close()
         raise
 
@@ -302,6 +302,7 @@
     client = node.clients.make_client(node.clients, sock)
     assert isinstance(client, Http1ClientConnection)
     node.clients.open_clients[client] = None
+    node.traffic_counts.connections_adopted += 1
     return client
 
 
--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -27,6 +27,7 @@
 from orchidgap.net.client_listener import ClientConnection, ClientListener
 from orchidgap.net.connection import Connection
 from orchidgap.net.request_handler import PendingRequest
+from orchidgap.net.traffic_counts import ConnectionEnd
 
 BODY_PROGRESS_BYTES = 1 << 14  # of a body that has to arrive within the time for one request
 MAX_PIPELINED = 8  # requests that may wait behind one
@@ -181,6 +182,7 @@
         try:
             path_class, key = check_start_line(message)
             if (path_class, key) == READINESS_TARGET and message.method != b"PUT":
+                self.listener.counts.readiness_checks += 1
                 self.answer(200 if self.listener.handler.is_ready() else 503)
                 return
             fields = check_fields(message, path_class, key, self.listener.handler)
@@ -291,7 +293,7 @@
         self.conn.on_drained = None
         if not whole:
             self.conn.reset()
-            self.close()
+            self.close(ConnectionEnd.TRUNCATED)
             return
         if self.chunked:
             self.conn.send(LAST_CHUNK)
@@ -325,6 +327,7 @@
         self.listener.awaiting_request.pop(self, None)
         self.upload = None
         if self.conn.is_open and not self.conn.closing:
+            self.listener.counts.rejections[status] += 1
             self.conn.pause_reading(False)
             self.conn.send(response_head(status, close=True))
             self.finish()
@@ -348,7 +351,7 @@
         self.upload = None
         self.stream_source = None
         self.streaming = False
-        self.close()
+        self.close(ConnectionEnd.MIGRATED)
 
     def attach_response(
         self, pending: PendingRequest, source: Connection, chunked: bool, close: bool, unsent: bytes
--- a/orchidgap/net/client_listener.py
+++ b/orchidgap/net/client_listener.py
@@ -11,6 +11,7 @@
 from orchidgap.net.dialing import OUT_OF_RESOURCES_ERRNOS, open_listener
 from orchidgap.net.loop import READ, Loop, Timer
 from orchidgap.net.request_handler import RequestHandler
+from orchidgap.net.traffic_counts import CLOSED_HERE, ConnectionEnd
 
 # for a request to come whole, since its connection or its first byte came
 REQUEST_TIMEOUT_US = 2_500_000
@@ -94,11 +95,20 @@
 
     def ended(self, what: str) -> None:
         """It has gone."""
-        self.close()
+        if self.conn.closing:
+            end = ConnectionEnd.FINISHED
+        else:
+            end = ConnectionEnd.CLIENT_CLOSED if what == "closed" else ConnectionEnd.BROKEN
+        self.close(end)
         self.on_disconnect()
 
-    def close(self) -> None:
-        """Close it without a word."""
+    def close(self, end: ConnectionEnd) -> None:
+        """Close it without a word; `end` says why."""
+        if self in self.listener.open_clients:
+            counts = self.listener.counts
+            counts.on_connection_end(end)
+            if end in CLOSED_HERE and self.conn.has_unread_bytes():
+                counts.closed_with_unread_bytes += 1
         self.conn.close()
         self.listener.forget(self)
 
@@ -123,6 +133,7 @@
         """Let nobody in yet; `make_client` speaks the protocol on a socket that was accepted."""
         self.loop = loop
         self.handler = handler
+        self.counts = handler.traffic_counts
         self.max_clients = max_clients
         self.make_client = make_client
         self.open_clients: dict[ClientConnection, None] = {}
@@ -227,6 +238,7 @@
         must_reject = self.is_full() and not self.close_unneeded()
         client = self.make_client(self, sock)
         self.open_clients[client] = None
+        self.counts.connections_accepted += 1
         if must_reject:
             client.reject(503)
             return
@@ -240,6 +252,7 @@
             return
         client = self.make_client(self, sock)
         self.open_clients[client] = None
+        self.counts.connections_adopted += 1
         self.idle[client] = None
         client.conn.on_ready(READ)
 
@@ -270,7 +283,7 @@
         if not waiting or self.loop.now - waiting.since_us < UNUSED_AFTER_US:
             unneeded = next((client for client in self.idle if client.is_quiet()), None) or waiting
         if unneeded:
-            unneeded.close()
+            unneeded.close(ConnectionEnd.MADE_WAY)
         return unneeded is not None
 
     def trim_idle(self) -> None:
@@ -293,7 +306,7 @@
         """Close the connection that has had its last answer for longest; whether there was one."""
         client = next(iter(self.closing), None)
         if client and self.loop.now - client.since_us >= ACCEPT_PAUSE_US:
-            client.close()
+            client.close(ConnectionEnd.FINISHED)
             return True
         return False
 
@@ -308,7 +321,7 @@
             if client.request_begun:
                 client.on_stalled()
             else:
-                client.close()
+                client.close(ConnectionEnd.SILENT)
         self.loop.call_later(SWEEP_INTERVAL_US, self.close_stalled)
 
     def release_idle(self) -> None:
@@ -324,7 +337,7 @@
                 and not client.request_begun
                 and client.since_us <= newcomer_since_us
             ):
-                client.close()
+                client.close(ConnectionEnd.SHUTDOWN)
 
     # --- what is asked of it
 
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -299,6 +299,15 @@
             pass
         return True
 
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes are there that were not read; a close now resets the connection."""
+        if not self.is_open:
+            return False
+        try:
+            return bool(self.sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     # --- its end
 
     def close_gracefully(self) -> None:
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -12,6 +12,7 @@
 from orchidgap.net.event_log import EventLog
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.request_handler import Responder
+from orchidgap.net.traffic_counts import RequestEnd, TrafficCounts
 from orchidgap.net.upstream_attempt import ResponseSink, UpstreamAttempt
 
 if TYPE_CHECKING:
@@ -29,6 +30,7 @@
     """The node, as far as its exchanges use it."""
 
     open_request_ids: set[bytes]
+    traffic_counts: TrafficCounts
 
     @property
     def loop(self) -> Loop:
@@ -149,6 +151,7 @@
         """Answer the client, unless it has its answer; `retry_after_us` is for the client."""
         if not self.closed:
             self.close()
+            self.node.traffic_counts.on_answered(status)
             self.client.answer(status, body, retry_after_us, length)
 
     def close(self) -> None:
@@ -174,6 +177,7 @@
             return None
         self.streaming_attempt = self.attempts[number]
         self.close()
+        self.node.traffic_counts.on_request_end(RequestEnd.STREAMED)
         self.node.call_decisions(
             self.node.balancer.on_outcome, self.number, number, AttemptOutcome.DONE, True
         )
@@ -207,6 +211,7 @@
         if self.closed:
             return
         self.close()
+        self.node.traffic_counts.on_request_end(RequestEnd.CLIENT_GONE)
         self.node.call_decisions(self.node.balancer.on_client_gone, self.number)
         if self.fallback_status:  # the decisions do not know of its attempts
             for attempt in self.attempts:
@@ -274,6 +279,8 @@
 
     def detach(self) -> None:
         """It goes on in another process."""
+        if not self.closed:
+            self.node.traffic_counts.on_request_end(RequestEnd.MIGRATED)
         self.closed = True
         self.streaming_attempt = None
         if self.deadline_timer:
@@ -288,4 +295,6 @@
         self.attempts = [attempt]
         self.closed = is_streaming
         self.streaming_attempt = attempt if is_streaming else None
+        if not is_streaming:
+            self.node.traffic_counts.requests_adopted += 1
         self.node.exchanges[self.number] = self
--- a/orchidgap/net/handover/successor.py
+++ b/orchidgap/net/handover/successor.py
@@ -21,6 +21,7 @@
 )
 from orchidgap.net.handover.packet_channel import MAX_DESCRIPTORS
 from orchidgap.net.handover.sibling import MIN_DESCRIPTORS, SiblingOwner, SiblingProcess
+from orchidgap.net.traffic_counts import ConnectionEnd
 
 HOSTS_IN_A_PACKET = 32
 SPARE_DESCRIPTORS = 8  # beyond those held, for this process to go on
@@ -129,7 +130,7 @@
             if not self.channel.send_with_sockets(IdleClients(), sockets):
                 return False
             for client in group:
-                client.close()
+                client.close(ConnectionEnd.MIGRATED)
         return True
 
     def hand_over_idle_connections(self) -> bool:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import TYPE_CHECKING, Any, Protocol
 
+import orjson
+
 from orchidgap.decisions.balancer import Balancer
 from orchidgap.decisions.host_list import ListScope
 from orchidgap.decisions.lifecycle import Lifecycle, LifecycleEvent
@@ -32,6 +34,7 @@
 from orchidgap.net.node_lifecycle import NodeLifecycle
 from orchidgap.net.request_handler import Responder
 from orchidgap.net.request_key import key_number
+from orchidgap.net.traffic_counts import TrafficCounts
 from orchidgap.net.upstream_attempt import UpstreamAttempt, parse_load_report
 
 if TYPE_CHECKING:
@@ -86,6 +89,7 @@
         self.exchanges: dict[int, Exchange] = {}
         self.open_request_ids: set[bytes] = set()  # of requests that are owed an answer
         self.last_request_number = 0
+        self.traffic_counts = TrafficCounts()
         self.lifecycle = Lifecycle(loop.now, config.settings.longest_client_timeout_us)
         self.descriptor_limit = config.descriptors
         self.endpoints: dict[str, tuple[EndpointEntry, Endpoint]] = {}  # the list as it was told
@@ -162,6 +166,7 @@
     ) -> None:
         """Take a request; see `RequestHandler`."""
         self.last_request_number += 1
+        self.traffic_counts.requests_arrived += 1
         number = self.last_request_number
         exchange = Exchange(
             self, number, request_id, responder, head, body, time_remaining_us, upload
@@ -280,6 +285,10 @@
 
     # --- what operators ask for
 
+    def count_report(self) -> tuple[bool, str]:
+        """How connections and requests came and ended since the start, as one line of JSON."""
+        return True, orjson.dumps(self.traffic_counts.facts()).decode()
+
     def shadow_report(self) -> tuple[bool, str]:
         """What the settings that are watched would have decided otherwise, by kind."""
         if not isinstance(self.balancer, ShadowBalancer):
--- a/orchidgap/net/node_lifecycle.py
+++ b/orchidgap/net/node_lifecycle.py
@@ -14,6 +14,7 @@
 from orchidgap.net.event_log import EventLog
 from orchidgap.net.exchange import Exchange
 from orchidgap.net.loop import Loop
+from orchidgap.net.traffic_counts import TrafficCounts
 
 if TYPE_CHECKING:
     from orchidgap.decisions.balancer import Balancer
@@ -29,6 +30,7 @@
     loop: Loop
     event_log: EventLog
     lifecycle: Lifecycle
+    traffic_counts: TrafficCounts
     balancer: Balancer
     clients: ClientListener
     exchanges: dict[int, Exchange]
@@ -114,6 +116,7 @@
             reqs=sum(not exchange.closed for exchange in self.exchanges.values()),
             longest_turn_ms=self.loop.longest_turn_us // 1000,
         )
+        self.event_log("traffic", **self.traffic_counts.facts())
         if isinstance(self.balancer, ShadowBalancer):
             self.event_log("shadow report", what=self.balancer.summary())
         self.handover.close()
--- a/orchidgap/net/request_handler.py
+++ b/orchidgap/net/request_handler.py
@@ -6,6 +6,7 @@
 
 from orchidgap.decisions.lifecycle import Lifecycle
 from orchidgap.net.body_stream import Upload
+from orchidgap.net.traffic_counts import TrafficCounts
 
 
 class PendingRequest(Protocol):
@@ -47,6 +48,7 @@
     """The node, as the clients' side of a protocol sees it."""
 
     lifecycle: Lifecycle
+    traffic_counts: TrafficCounts
 
     def is_ready(self) -> bool:
         """Whether the balancer says that it serves."""
--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -114,6 +114,7 @@
             admin_protocol.DRAIN: node.drain,
             admin_protocol.RESUME: node.resume,
             admin_protocol.SHADOW_REPORT: node.shadow_report,
+            admin_protocol.COUNT_REPORT: node.count_report,
         },
     )
 
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -80,6 +80,7 @@
         """Tells the client why nothing more is taken from it, and ends the connection."""
         self.listener.awaiting_request.pop(self, None)
         if self.conn.is_open and not self.conn.closing:
+            self.listener.counts.rejections[status] += 1
             self.conn.send(encode_error(REJECTIONS.get(status, f"ERR {status}")))
             self.finish()
 
--- a/tests/control/test_guarded_node.py
+++ b/tests/control/test_guarded_node.py
@@ -6,6 +6,7 @@
 
 from orchidgap.control.guarded_node import LeaseGuardedNode
 from orchidgap.net.node import Node
+from orchidgap.net.traffic_counts import TrafficCounts
 
 
 class Guard:
@@ -43,6 +44,7 @@
 def make_node(guard, request_classes=("read",)):
     node = LeaseGuardedNode.__new__(LeaseGuardedNode)
     node.guard = guard
+    node.traffic_counts = TrafficCounts()
     node.config = SimpleNamespace(settings=SimpleNamespace(request_classes=request_classes))
     return node
 
