Durable writes: the loop does not wait for a writer that is long about its end

Found by looking for what could hold up a balancer's clients beside load: after a child had reported its write, the loop waited for the child's end (waitpid), which comes as late as the system gives it a core. The next write begins once the child has ended, as before, so two never write one folder.

--- a/orchidgap/state/background_writer.py
+++ b/orchidgap/state/background_writer.py
@@ -21,6 +21,7 @@
 WRITER_ENDED = "whoever wrote it has ended"
 WRITTEN = b"done"  # what the child says
 MAX_REPORT_BYTES = 256
+REAP_INTERVAL_US = 10_000
 
 
 class BackgroundWriter:
@@ -32,7 +33,7 @@
     Attributes:
         loop: The loop that calls back.
         store: Where the files are.
-        busy: Whether a write is under way or waits.
+        busy: Whether a write is under way or waits, or its child has yet to end.
     """
 
     def __init__(self, loop: Loop, store: DurableStore) -> None:
@@ -108,13 +109,20 @@
         report = parent_end.recv(MAX_REPORT_BYTES)
         self.loop.unwatch(parent_end)
         parent_end.close()
-        os.waitpid(child, 0)
-        self.loop.call_soon(self._begin_next)
+        self.loop.call_soon(self._reap, child)
         if report == WRITTEN:
             on_written("")
         else:
             on_written(report.decode() or WRITER_ENDED)
 
+    def _reap(self, child: int) -> None:
+        """Go on once a child has ended. Nothing waits for it: on a busy machine that takes long."""
+        ended_child, _ = os.waitpid(child, os.WNOHANG)
+        if ended_child:
+            self._begin_next()
+        else:
+            self.loop.call_later(REAP_INTERVAL_US, self._reap, child)
+
 
 def _reset_signals() -> None:
     signal.set_wakeup_fd(-1)
--- a/tests/state/test_background_writer.py
+++ b/tests/state/test_background_writer.py
@@ -2,6 +2,9 @@
 
 import errno
 import os
+import time
+
+import pytest
 
 from orchidgap.net.loop import Loop
 from orchidgap.state.background_writer import WRITER_ENDED, BackgroundWriter
@@ -34,3 +37,14 @@
     assert write_all(writer, "b") == [(0, WRITER_ENDED)]
     monkeypatch.setattr(os, "fork", lambda: (_ for _ in ()).throw(OSError(errno.EAGAIN, "no more")))
     assert write_all(writer, "c") == [(0, "no more")]
+
+
+def test_the_loop_does_not_wait_for_a_child_that_is_long_about_its_end(tmp_path, monkeypatch):
+    # A child that has no core after its report held up its balancer's loop, and with it all clients.
+    end_process = os._exit
+    monkeypatch.setattr(os, "_exit", lambda code: (time.sleep(0.5), end_process(code)))
+    writer = BackgroundWriter(Loop(), DurableStore(tmp_path))
+    assert write_all(writer, "a") == [(0, "")]
+    assert writer.loop.longest_turn_us < 300_000
+    with pytest.raises(ChildProcessError):  # none is left behind
+        os.waitpid(-1, os.WNOHANG)
