A request's objective runs from its arrival, not from when the loop read it

What callers saw: a drill beside load was late once, three requests given up and a 503 held back for 514 ms. A process that got no core for half a second therefore denied what it had queued half a second late.

The three tests fail without it.

Node passes how long ago the last byte came; how long a request waited for a host is still counted from when the decisions heard of it, as the time before says nothing of hosts.

--- a/orchidgap/decisions/balancer.py
+++ b/orchidgap/decisions/balancer.py
@@ -88,6 +88,7 @@
         tenant: str,
         slot: int = -1,
         body_streaming: bool = False,
+        waited_us: int = 0,
     ) -> None:
         """A request has come.
 
@@ -100,6 +101,8 @@
             tenant: Whose it is.
             slot: The key's slot where the protocol says so; negative to hash the key.
             body_streaming: Whether its body has yet to come whole.
+            waited_us: How long ago its last byte came: a process that was held up hears of it late,
+                and its objective runs from then.
         """
         if slot < 0:
             slot = self.rng.randrange(SLOT_COUNT) if key is None else slot_of_key(key)
@@ -110,21 +113,23 @@
             key,
             slot,
             is_write,
-            self.now,
+            self.now - waited_us,
             self.now + time_remaining_us,
             self.settings.max_attempts,
+            handled_at_us=self.now,
             body_streaming=body_streaming,
         )
         self.requests[request_id] = request
         self.admission.forward(request)
 
-    def on_body_complete(self, request_id: int, time_remaining_us: int) -> None:
-        """The last byte of a streaming body has come: the request's time runs from now on."""
+    def on_body_complete(self, request_id: int, time_remaining_us: int, waited_us: int = 0) -> None:
+        """The last byte of a streaming body came so long ago: the request's time runs from then."""
         request = self.requests.get(request_id)
         if request is None:
             return
         request.body_streaming = False
-        request.received_at_us = self.now
+        request.received_at_us = self.now - waited_us
+        request.handled_at_us = self.now
         request.deadline_us = self.now + time_remaining_us
         for attempt in request.attempts:
             if not attempt.outcome:
--- a/orchidgap/decisions/pipeline.py
+++ b/orchidgap/decisions/pipeline.py
@@ -100,10 +100,12 @@
             self.next_stage.forward(request, host)
 
     def oldest_wait_us(self) -> int:
-        """The age of the first request in the queue without an answer; 0 where there is none."""
+        """How long ago the decisions heard of the first request in the queue without an answer; 0
+        where there is none. What it waited before says nothing of hosts.
+        """
         for request in self.queue:
             if not request.answered:
-                return self.context.now - request.received_at_us
+                return self.context.now - request.handled_at_us
         return 0
 
 
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -119,9 +119,10 @@
     key: int | None
     slot: int  # of the hash space
     is_write: bool
-    received_at_us: int
+    received_at_us: int  # when its last byte came
     deadline_us: int  # when its client gives up
     max_attempts: int
+    handled_at_us: int = 0  # when the decisions were told of it
     attempts: list[Attempt] = field(default_factory=list)
     in_flight: int = 0  # attempts
     answered: bool = False  # it has its final answer
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -125,6 +125,12 @@
         if not self.closed:
             self.deadline_timer = self.node.loop.call_at(self.deadline_us, self.on_deadline)
 
+    def waited_us(self) -> int:
+        """How long ago the last byte came; 0 while it is still to come."""
+        if self.upload and not self.upload.complete:
+            return 0
+        return max(0, self.node.loop.now - self.client.received_at_us)
+
     def on_body_complete(self) -> None:
         """The last byte of a body that flows is there."""
         self.start_deadline()
@@ -136,6 +142,7 @@
             self.node.balancer.on_body_complete,
             self.number,
             max(0, self.deadline_us - self.node.loop.now),
+            self.waited_us(),
             exchange=self,
         )
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -172,11 +172,6 @@
             self, number, request_id, responder, head, body, time_remaining_us, upload
         )
         responder.pending_request = self.exchanges[number] = exchange
-        placement: tuple[Any, ...] = ()
-        if upload:
-            placement = (slot, True)
-        elif slot >= 0:
-            placement = (slot,)
         self.call_decisions(
             self.balancer.on_request,
             number,
@@ -185,7 +180,9 @@
             request_class,
             key_number(key),
             tenant,
-            *placement,
+            slot,
+            upload is not None,
+            exchange.waited_us(),
             exchange=exchange,
         )
 
--- a/orchidgap/simulation/baselines.py
+++ b/orchidgap/simulation/baselines.py
@@ -98,7 +98,7 @@
     def on_response_truncated(self, host_id: str) -> None:
         """An answer that had begun to reach its client broke off: it makes no difference here."""
 
-    def on_body_complete(self, request_id: int, time_remaining_us: int) -> None:
+    def on_body_complete(self, request_id: int, time_remaining_us: int, waited_us: int = 0) -> None:
         """The last byte of a streaming body has come: the request's time runs from now on."""
         request = self.requests.get(request_id)
         if request is None:
@@ -119,6 +119,7 @@
         tenant: str,
         slot: int = -1,
         body_streaming: bool = False,
+        waited_us: int = 0,
     ) -> None:
         """A request has come; see `Balancer.on_request`. The key is always hashed here."""
         slot = self.rng.randrange(SLOT_COUNT) if key is None else slot_of_key(key)
@@ -129,9 +130,10 @@
             key,
             slot,
             is_write,
-            self.now,
+            self.now - waited_us,
             self.now + time_remaining_us,
             self.settings.max_attempts,
+            handled_at_us=self.now,
             body_streaming=body_streaming,
         )
         self.requests[request_id] = request
--- a/orchidgap/simulation/saturate.py
+++ b/orchidgap/simulation/saturate.py
@@ -60,7 +60,14 @@
             self.ids = sorted(entry[0] for entry in entries if entry[4] != "origin")
 
     def on_request(
-        self, id: int, left: int, write: bool, rule_set: str, key: int | None, tenant: str
+        self,
+        id: int,
+        left: int,
+        write: bool,
+        rule_set: str,
+        key: int | None,
+        tenant: str,
+        *rest: Any,
     ) -> None:
         self.port.dispatch(id, self.ids[crc_hqx(b"%d" % (key or 0), 0) % len(self.ids)])
 
--- a/tests/decisions/test_balancer.py
+++ b/tests/decisions/test_balancer.py
@@ -52,3 +52,25 @@
     balancer.finish_attempt(99, "done")
     balancer.on_wake(12345)
     balancer.list_hosts(["c0"], state="gone")
+
+
+def test_the_objective_of_a_request_that_was_heard_of_late_runs_from_its_arrival():
+    # Requests that waited in a process that was held up were denied that much too late.
+    balancer = BalancerHarness(caches=0)
+    origin = balancer.hosts["o"]
+    origin.concurrency_limit = 1.0
+    balancer.send_request(1, "mark")
+    assert balancer.attempted_hosts(1) == ["o"]
+    balancer.on_request(2, 1_500_000, True, "mark", 2, "small", waited_us=500_000)
+    assert balancer.placement.oldest_wait_us() == balancer.origin.oldest_wait_us() == 0
+    balancer.advance(290_000)
+    assert balancer.actions("deny", 2) == []
+    balancer.advance(20_000)
+    assert len(balancer.actions("deny", 2)) == 1
+
+
+def test_the_objective_of_a_streamed_body_runs_from_its_last_byte():
+    balancer = BalancerHarness()
+    balancer.on_request(1, 3_600_000_000, True, "mark", 1, "small", -1, True)
+    balancer.on_body_complete(1, 1_900_000, 100_000)
+    assert balancer.requests[1].received_at_us == balancer.now - 100_000
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -1,6 +1,9 @@
 """One request from its last byte to its answer, over socket pairs."""
 
+import time
+
 import pytest
+from loopback_harness import LoopbackHarness, received_or_reset
 from net_scenarios import WAITS
 from node_harness import NodeHarness, received_text
 
@@ -220,3 +223,26 @@
         and len(net.host_sockets()) == 1
     )
     assert not net.node.exchanges and not net.node.balancer.requests
+
+
+def write_text(key):
+    return (
+        f"PUT /mark/{key} HTTP/1.1\r\nHost: s\r\nRequest-Id: r-{key}\r\nTenant: small\r\n"
+        f"Request-Timeout: 2.0\r\nIdempotency-Key: {key}\r\nContent-Length: 1\r\n\r\nv"
+    ).encode()
+
+
+def test_a_request_that_waited_for_a_process_that_was_held_up_has_its_objective_from_its_arrival():
+    # Drills with stopped balancers were late: given up, and 503 held back for as long as the stop was.
+    net = LoopbackHarness(0)
+    net.node.balancer.hosts["o"].concurrency_limit = 1.0
+    first = net.connect_client(write_text("k1"))
+    net.turn()
+    waiting = net.connect_client(write_text("k2"))
+    time.sleep(0.3)  # by the kernel's clock; the node's own stands still
+    net.turn()
+    net.advance(450_000)
+    assert received_or_reset(waiting) is None
+    net.advance(100_000)  # 0.8 s after its arrival, its objective is over
+    assert "503" in received_or_reset(waiting)
+    assert received_or_reset(first) is None
