Fault tests: the verdict tells how long control had no majority

A balancer cannot tell a dead majority from one that it is cut off from, so with alone = leave it has to deny: no fault of the product. without_majority_s is in the verdict now, so that denials are explained by it or by nothing.

--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -19,6 +19,7 @@
 from orchidgap.fault_tests.child_processes import PortOffset, ProcessLauncher, memory_folder
 from orchidgap.fault_tests.control_process import ControlProcess
 from orchidgap.fault_tests.links import OPERATOR, Link, Links, Topology
+from orchidgap.fault_tests.majority_watch import MajorityWatch
 from orchidgap.fault_tests.plan import COMMON_CLASS, FaultTest, ProposalOutcome, class_of_version
 from orchidgap.fault_tests.process_logs import ProcessLogs
 from orchidgap.fault_tests.proposal_callers import ProposalCallers
@@ -53,6 +54,7 @@
     Attributes:
         test: The plan.
         controls: The control processes.
+        majority_watch: Whether enough of them ran.
         links: The relays between processes.
         logs: What processes have logged.
         checker: What became of proposals.
@@ -86,6 +88,7 @@
             ControlProcess(self.launcher, self.links, test.control, number)
             for number in range(test.control.count)
         ]
+        self.majority_watch = MajorityWatch(self.controls)
         self.checker = RolloutChecker(
             self.referee, milliseconds_to_us(test.control.lease_ms), SLACK_US
         )
@@ -314,6 +317,8 @@
                 post.mark_ended()
         for control in self.controls:
             control.alive = control.alive and not control.has_ended()
+        if self.controls:
+            self.majority_watch.look(self.loop.now)
 
     def wait_until(self, is_met: Callable[[], bool], timeout_s: float, what: str) -> bool:
         """Run until something is seen; a breach and False if that takes longer."""
--- a/orchidgap/fault_tests/runner.py
+++ b/orchidgap/fault_tests/runner.py
@@ -103,4 +103,7 @@
         cluster.checker.check()
         stretches = cluster.stretches.finish(cluster.checker.breach)
         verdict = cluster.checker.verdict(cluster.build_verdict()) | self.costs.report()
+        if cluster.controls:
+            without_us = cluster.majority_watch.without_majority_us
+            verdict["without_majority_s"] = round(without_us / 1e6, 1)
         return verdict | {"stretches": stretches} if stretches else verdict
