Soak: balancers, hosts, discovery and clients disturbed by chance, by seed

Clients go on sending on every connection until the process is gone; what it had taken and not answered then is lost, also where it ended by itself, which drills did not see before.

--- a/orchidgap/fault_tests/actions.py
+++ b/orchidgap/fault_tests/actions.py
@@ -26,6 +26,7 @@
 )
 from orchidgap.fault_tests.random_faults import draw_fault
 from orchidgap.fault_tests.rollout_checker import ProposalRecord
+from orchidgap.fault_tests.soak_faults import SoakFaults
 from orchidgap.net.addresses import format_address
 from orchidgap.simulation.balancer_instance import Pause
 from orchidgap.simulation.faults import start_fault
@@ -49,6 +50,7 @@
         """Act on this cluster."""
         self.cluster = cluster
         links = cluster.links
+        self.soak_faults = SoakFaults(cluster)
         self.handlers: dict[ActionKind, Callable[..., None]] = {
             ActionKind.PROPOSE: self.propose,
             ActionKind.KILL: self.kill,
@@ -83,6 +85,8 @@
                 self.perform(parse_action(f"{action.kind.value} {name}", action.text))
         elif action.kind is ActionKind.RANDOM_FAULT:
             self.random_fault()
+        elif action.kind is ActionKind.SOAK_FAULT:
+            self.soak_faults.draw()
         elif action.kind is ActionKind.END_FAULTS:
             self.cluster.end_faults()
         elif action.kind is not ActionKind.NOTHING:
--- a/orchidgap/fault_tests/plan.py
+++ b/orchidgap/fault_tests/plan.py
@@ -74,6 +74,7 @@
     EVICT = "strike"
     RELOAD = "hup"
     RANDOM_FAULT = "draw"
+    SOAK_FAULT = "soak"
     END_FAULTS = "mend"
     SET_HOST_HEALTH = "hosts"
     ROLL_OUT_BY_SIGNAL = "sighup"
@@ -125,6 +126,7 @@
     ActionKind.EVICT: (1, 1),
     ActionKind.RELOAD: (1, 1),
     ActionKind.RANDOM_FAULT: (0, 0),
+    ActionKind.SOAK_FAULT: (0, 0),
     ActionKind.END_FAULTS: (0, 0),
     ActionKind.SET_HOST_HEALTH: (2, 2),
     ActionKind.ROLL_OUT_BY_SIGNAL: (0, 0),
--- a/orchidgap/fault_tests/planted_defects.py
+++ b/orchidgap/fault_tests/planted_defects.py
@@ -21,8 +21,12 @@
 )
 from orchidgap.decisions.leases import LeaseTable
 from orchidgap.http1.server import Http1ClientConnection
+from orchidgap.net.decisions_port import DecisionsPort
+from orchidgap.net.endpoints import STATES
+from orchidgap.net.node_lifecycle import NodeLifecycle
 
 LONGEST_COUNTED_STOP_US = 50_000
+DENIAL_DELAY_US = 600_000
 
 
 def keeps_old_version() -> None:
@@ -165,6 +169,34 @@
     GossipCounts.receive_report = again
 
 
+def closes_with_requests_read() -> None:
+    """Told to end, it closes connections whose requests it has read and not answered."""
+    begin_shutdown = NodeLifecycle.begin_shutdown
+
+    def begin_and_close(self: NodeLifecycle) -> None:
+        begin_shutdown(self)
+        for client in list(self.clients.open_clients):
+            if isinstance(client, Http1ClientConnection) and client.pending_request:
+                client.conn.fail("closed")
+
+    NodeLifecycle.begin_shutdown = begin_and_close
+
+
+def denies_late() -> None:
+    """It answers what it denies 0.6 s later than it could."""
+    deny = DecisionsPort.deny
+
+    def deny_later(self: DecisionsPort, request: int, retry_after_us: int) -> None:
+        self.loop.call_later(DENIAL_DELAY_US, deny, self, request, retry_after_us)
+
+    DecisionsPort.deny = deny_later
+
+
+def takes_draining_for_ready() -> None:
+    """It goes on sending to hosts that drain."""
+    STATES["Terminating"] = "up"
+
+
 DEFECTS: dict[str, Callable[[], None]] = {
     "skips": keeps_old_version,
     "early": serves_before_first_lease,
@@ -177,5 +209,8 @@
     "amnesic": skips_acceptor_writes,
     "blind": sees_no_hot_key,
     "echoes": counts_reports_again,
+    "hangs-up": closes_with_requests_read,
+    "dawdles": denies_late,
+    "stubborn": takes_draining_for_ready,
 }
 """By the name that the command and the environment of a process take."""
--- /dev/null
+++ b/orchidgap/fault_tests/soak_faults.py
@@ -0,0 +1,223 @@
+"""What a soak does by chance: signals in series, stops, silent lists, releases of hosts, crowds.
+
+One call of `SoakFaults.draw` is one fault; each ends by itself. What a balancer that was told to
+end has taken and not answered counts as lost, whether it ends by itself or is killed.
+"""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from orchidgap.fault_tests.cluster import Cluster
+from orchidgap.net.attempt_failure import AttemptFailure
+from orchidgap.simulation.faults import start_fault
+from orchidgap.simulation.observations import ClientAttempt
+from orchidgap.simulation.plan import Fault, milliseconds_to_us
+
+# how long after SIGTERM a process that still runs may be killed, beyond the longest client timeout
+KILL_MARGIN_US = 700_000
+EXIT_POLL_US = 10_000
+# after the end of a process, for what it had written to be read
+LAST_ANSWERS_US = 400_000
+MAX_RESTART_DELAY_US = 500_000
+SECOND_SIGNAL_US = (20_000, 400_000)
+RELOAD_AFTER_START_US = (250_000, 600_000)
+TERM_AFTER_START_US = (250_000, 600_000)
+STOP_US = (50_000, 800_000)
+CROWD_SIZE = 80
+CROWD_US = 3_000_000
+CROWD_SEED_PERIOD = 4  # one run of so many has crowds
+
+
+class SoakFaults:
+    """Draws faults for a cluster, by its seed."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        """Act on this cluster."""
+        self.cluster = cluster
+        self.rng = cluster.rng
+        self.loop = cluster.loop
+        self.crowd: list[socket.socket] = []
+        self.kinds: list[Callable[[str], None]] = [
+            self.retire,
+            self.retire,
+            self.reload_while_starting,
+            self.terminate_before_first_list,
+            self.kill_after_accept,
+            self.stop,
+            self.stop,
+            self.silence_discovery,
+            self.release_hosts,
+        ]
+        if cluster.seed % CROWD_SEED_PERIOD == 1:
+            self.kinds += [self.send_crowd, self.send_crowd]
+
+    def draw(self) -> None:
+        """Do one fault to a balancer that serves, if there is one."""
+        serving = [
+            name
+            for name, post in self.cluster.balancers.items()
+            if post.alive and post.ready_at and not post.is_shutting_down
+        ]
+        if len(serving) > 1:  # clients have somewhere to go
+            self.rng.choice(self.kinds)(self.rng.choice(serving))
+
+    def note(self, text: str) -> None:
+        """Record what is done."""
+        self.cluster.referee.record_event(self.loop.now, text)
+
+    def send_signal_later(self, name: str, number: int, delay_us: int) -> None:
+        """Send a signal to the process that runs now, unless it has ended by then."""
+        process = self.cluster.process_of(name)
+
+        def send() -> None:
+            if process.poll() is None:
+                self.note(f"{signal.Signals(number).name} {name}")
+                process.send_signal(number)
+
+        self.loop.call_later(delay_us, send)
+
+    # --- an end that is asked for
+
+    def retire(self, name: str) -> None:
+        """SIGTERM, perhaps followed by more signals; SIGKILL at the earliest time."""
+        post = self.cluster.balancers[name]
+        post.is_shutting_down = True
+        self.send_signal_later(name, signal.SIGTERM, 0)
+        for number in (signal.SIGTERM, signal.SIGHUP):
+            if self.rng.random() < 0.5:
+                self.send_signal_later(name, number, self.rng.randrange(*SECOND_SIGNAL_US))
+        self.await_end(name, self.loop.now + self.longest_client_timeout_us() + KILL_MARGIN_US)
+
+    def longest_client_timeout_us(self) -> int:
+        """Return the longest time that a client waits."""
+        specs = self.cluster.plan.request_classes()
+        return milliseconds_to_us(max(spec.client_timeout_ms for spec in specs))
+
+    def await_end(self, name: str, kill_at_us: int) -> None:
+        """See the process end, kill it when it may be, and start another one."""
+        process = self.cluster.process_of(name)
+        if process.poll() is not None:
+            self.loop.call_later(LAST_ANSWERS_US, self.on_ended, name)
+        elif self.loop.now >= kill_at_us:
+            self.note(f"SIGKILL {name}, {KILL_MARGIN_US // 1000} ms after the longest timeout")
+            process.kill()
+            self.loop.call_later(LAST_ANSWERS_US, self.on_ended, name)
+        else:
+            self.loop.call_later(EXIT_POLL_US, self.await_end, name, kill_at_us)
+
+    def on_ended(self, name: str) -> None:
+        """Judge what it left unanswered, and start it anew."""
+        post = self.cluster.balancers[name]
+        if not post.alive:
+            return
+        for attempt in self.unanswered(name):
+            self.cluster.report_unanswered(attempt, self.loop.now)
+        post.mark_ended()
+        self.restart_later(name)
+
+    def unanswered(self, name: str) -> list[ClientAttempt]:
+        """Return the requests that its process had taken and never answered."""
+        post = self.cluster.balancers[name]
+        return [
+            attempt
+            for attempt in self.cluster.referee.client_attempts.values()
+            if (attempt.balancer, attempt.incarnation) == (name, post.incarnation)
+            and attempt.arrived_at_us
+            and not attempt.status
+            and not attempt.abandoned
+        ]
+
+    def restart_later(self, name: str) -> None:
+        """Start the balancer again, unless that was done meanwhile."""
+        self.loop.call_later(self.rng.randrange(MAX_RESTART_DELAY_US), self.start, name)
+
+    def start(self, name: str) -> None:
+        """Start the balancer with the list that it last had, unless it runs."""
+        post = self.cluster.balancers[name]
+        if not post.alive:
+            post.start(self.cluster.latest_endpoint_list(name))
+
+    # --- ends that are not asked for, and starts
+
+    def kill_after_accept(self, name: str) -> None:
+        """Connect, and kill it as soon as the connection is up."""
+        self.note(f"kill {name} as a connection comes up")
+        with suppress(OSError):
+            connection = socket.create_connection(self.cluster.address_of(name), timeout=0.2)
+            self.kill(name)
+            connection.close()
+
+    def kill(self, name: str) -> None:
+        """Kill it, and start it again."""
+        self.cluster.balancers[name].kill()
+        self.restart_later(name)
+
+    def reload_while_starting(self, name: str) -> None:
+        """Kill it, start it at once, and have it read its configuration again as it starts."""
+        self.note(f"kill {name}, SIGHUP as it starts")
+        self.cluster.balancers[name].kill()
+        self.start(name)
+        self.send_signal_later(name, signal.SIGHUP, self.rng.randrange(*RELOAD_AFTER_START_US))
+
+    def terminate_before_first_list(self, name: str) -> None:
+        """Start it while discovery is silent, and tell it to end before it has a list."""
+        self.note(f"kill {name}, SIGTERM before its first list")
+        self.set_off("discovery-gone", 1.0, name)
+        self.cluster.balancers[name].kill()
+        self.start(name)
+
+        def retire() -> None:
+            post = self.cluster.balancers[name]
+            if post.alive and not post.is_shutting_down:
+                self.retire(name)
+
+        self.loop.call_later(self.rng.randrange(*TERM_AFTER_START_US), retire)
+
+    def stop(self, name: str) -> None:
+        """Stop it for a moment."""
+        duration_us = self.rng.randrange(*STOP_US)
+        self.note(f"stop {name} for {duration_us // 1000} ms")
+        post = self.cluster.balancers[name]
+        post.pause(self.loop.now + duration_us)
+        incarnation = post.incarnation
+
+        def resume() -> None:
+            if post.alive and post.incarnation == incarnation:
+                self.cluster.resume(name)
+
+        self.loop.call_later(duration_us, resume)
+
+    # --- what is around it
+
+    def silence_discovery(self, name: str) -> None:
+        """Discovery is gone, late or crowded, for one balancer or for all."""
+        kind = self.rng.choice(("discovery-gone", "discovery-late", "discovery-crowded"))
+        target = self.rng.choice((name, ""))
+        self.set_off(kind, self.rng.uniform(0.5, 3.0), target)
+
+    def release_hosts(self, name: str) -> None:
+        """A part of the cache hosts are replaced, one after another."""
+        self.set_off("deploy", self.rng.uniform(1.0, 4.0), "", self.rng.uniform(0.2, 0.6))
+
+    def set_off(self, kind: str, duration_s: float, target: str, ratio: float = 0.0) -> None:
+        """Start a fault that simulations have."""
+        start_fault(self.cluster, Fault(kind, 0.0, duration_s, ratio, target))
+
+    def send_crowd(self, name: str) -> None:
+        """Idle clients take the descriptors that a balancer has for clients."""
+        self.note(f"{CROWD_SIZE} idle clients at {name}")
+        for _ in range(CROWD_SIZE):
+            connection = self.cluster.network.dial(self.cluster.address_of(name))
+            if not isinstance(connection, AttemptFailure):
+                self.crowd.append(connection)
+        self.loop.call_later(CROWD_US, self.send_crowd_away)
+
+    def send_crowd_away(self) -> None:
+        """All idle clients close."""
+        for connection in self.crowd:
+            connection.close()
+        self.crowd.clear()
--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -163,7 +163,11 @@
         unread = what != "closed" and not self.reader.started
         if unread:
             environment.referee.failed_connections += 1
-        if self.used > 1 and unread:  # it was closed between two reqs, and this one crossed that
+        # a process that leaves ends what rests; what it has forwarded it had read
+        crossed = (
+            environment.is_leaving(self.post) and not self.reader.started and not ask.host_attempts
+        )
+        if self.used > 1 and (unread or crossed):  # closed between two reqs, as this one came
             return callers.send(ask, self.message, self.post, fresh=True)
         if what == "closed" and self.reader.started and self.reader.on_connection_closed():
             why = f"{ask.id.decode()}: no telling where its answer ends"
--- a/tests/fault_tests/test_fault_tests.py
+++ b/tests/fault_tests/test_fault_tests.py
@@ -10,10 +10,12 @@
 
 DRILLS = Path(__file__).parents[2] / "drills"
 BY_HAND = {"change-forty", "change-every-write"}
+SOAK = "soak"
+SOAK_SEEDS = (1, 2, 3)  # 50 and more are run by hand
 SHIPPED = sorted(
     path.stem
     for path in DRILLS.glob("*.toml")
-    if path.stem not in BY_HAND and not path.stem.startswith("fleet-")
+    if path.stem not in BY_HAND | {SOAK} and not path.stem.startswith("fleet-")
 )
 CAUGHT = {
     "skips": ("change-beside", "old stuck"),
@@ -27,6 +29,9 @@
     "amnesic": ("change-blackout", "stuck untrue"),
     "blind": ("spread-hot", "uneven"),
     "echoes": ("spread-pool", "uneven"),
+    "hangs-up": ("soak", "lost"),
+    "dawdles": ("soak", "late"),
+    "stubborn": ("soak", "drain"),
 }
 
 
@@ -39,6 +44,13 @@
     assert verdict["decided"] > 0 or "stay" in name or name.startswith("spread-")
 
 
+@pytest.mark.parametrize("seed", SOAK_SEEDS)
+def test_a_short_soak_is_kept(seed):
+    verdict, _ = play(read(str(DRILLS / f"{SOAK}.toml")), seed)
+    assert verdict["verdict"] == "kept", verdict
+    assert verdict["reqs"] > 1_000
+
+
 @pytest.mark.parametrize("defect", DEFECTS)
 def test_a_planted_defect_is_caught(defect):
     name, rules = CAUGHT[defect]
