--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -20,6 +20,7 @@
 
 LATE_BY = 3_000_000  # after its client timeout an answer is waited for no longer
 OWED = 3_000_000  # what a bad client is owed an error or a close within
+CROSSING_US = 50_000
 PIECE = 16_384  # bytes of a large req that are written at once
 BUSY = 10.0
 SPREAD = 0.25  # work takes a time of this gamma scale, at shape 4
@@ -163,10 +164,11 @@
         unread = what != "closed" and not self.reader.started
         if unread:
             environment.referee.failed_connections += 1
-        # a process that leaves ends what rests; what it has forwarded it had read
-        crossed = (
-            environment.is_leaving(self.post) and not self.reader.started and not ask.host_attempts
-        )
+        # On sockets an end that comes with the request crossed it on the way, unless a host has seen
+        # it; one that comes later was made by a balancer that had the request.
+        age_us = callers.loop.clock() - ask.arrived_at_us
+        came_with_it = not environment.network.virtual and age_us <= CROSSING_US
+        crossed = came_with_it and not self.reader.started and not ask.host_attempts
         if self.used > 1 and (unread or crossed):  # closed between two reqs, as this one came
             return callers.send(ask, self.message, self.post, fresh=True)
         if what == "closed" and self.reader.started and self.reader.on_connection_closed():
--- a/orchidgap/simulation/environment.py
+++ b/orchidgap/simulation/environment.py
@@ -80,10 +80,6 @@
         """Return whether clients are sent there; `notice` is how late a death is seen."""
         ...
 
-    def is_leaving(self, balancer: str) -> bool:
-        """Return whether its process was told to end, and has not ended."""
-        ...
-
     def was_paused_since(self, balancer: str, since: int) -> bool:
         """Return whether the process stood still at any time after that."""
         ...
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -234,11 +234,6 @@
             return instance.ready_at > 0
         return now - instance.died_at < notice
 
-    def is_leaving(self, balancer: str) -> bool:
-        """Return whether its process was told to end, and has not ended."""
-        instance = self.balancers[balancer]
-        return instance.alive and instance.is_shutting_down
-
     def was_paused_since(self, balancer: str, since: int) -> bool:
         """Return whether it stood still after that: a stopped process cannot answer."""
         return any(pause.end_us > since for pause in self.balancers[balancer].pauses)
