Fault tests: a balancer that reaches control and denies all the same is told

The figure counts links too now, as each balancer meets them, and a balancer that has reached a majority for three leases, the time of one change and a second, and still denies all it gets, breaks stuck.

--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -14,12 +14,13 @@
 
 from orchidgap.control.messages.base import AnswerT, RequestT, RpcMethod
 from orchidgap.control.rpc_client import RpcClient
+from orchidgap.decisions.cas_register import quorum_size
 from orchidgap.fault_tests import disk_faults
 from orchidgap.fault_tests.balancer_process import ClusterBalancer
 from orchidgap.fault_tests.child_processes import PortOffset, ProcessLauncher, memory_folder
 from orchidgap.fault_tests.control_process import ControlProcess
 from orchidgap.fault_tests.links import OPERATOR, Link, Links, Topology
-from orchidgap.fault_tests.majority_watch import MajorityWatch
+from orchidgap.fault_tests.majority_watch import STOPPED_STATE, MajorityWatch, process_state
 from orchidgap.fault_tests.plan import COMMON_CLASS, FaultTest, ProposalOutcome, class_of_version
 from orchidgap.fault_tests.process_logs import ProcessLogs
 from orchidgap.fault_tests.proposal_callers import ProposalCallers
@@ -44,6 +45,11 @@
 CALL_PAUSE_US = 200_000
 LONG_PAUSE_US = 2_000_000  # a balancer that stays stopped for longer than that is resumed
 RECENT_COUNT = 2
+# how long a balancer may deny that has come to reach control: leases and one change may pass
+GRACE_LEASES = 3
+GRACE_EXTRA_MS = 1_000
+# each way, beyond which heartbeats time out
+MAX_HEARTBEAT_DELAY_US = 200_000
 # how long a proposer waits, as a part of the time after which control gives up
 PROPOSER_WAIT_RATIO = 1.2
 
@@ -54,7 +60,7 @@
     Attributes:
         test: The plan.
         controls: The control processes.
-        majority_watch: Whether enough of them ran.
+        majority_watch: Which balancers reached a majority of them, and when.
         links: The relays between processes.
         logs: What processes have logged.
         checker: What became of proposals.
@@ -88,7 +94,9 @@
             ControlProcess(self.launcher, self.links, test.control, number)
             for number in range(test.control.count)
         ]
-        self.majority_watch = MajorityWatch(self.controls)
+        control = test.control
+        grace_ms = GRACE_LEASES * control.lease_ms + control.give_up_ms + GRACE_EXTRA_MS
+        self.majority_watch = MajorityWatch(milliseconds_to_us(grace_ms))
         self.checker = RolloutChecker(
             self.referee, milliseconds_to_us(test.control.lease_ms), SLACK_US
         )
@@ -318,7 +326,27 @@
         for control in self.controls:
             control.alive = control.alive and not control.has_ended()
         if self.controls:
-            self.majority_watch.look(self.loop.now)
+            self.majority_watch.look(self._reaching_majority(), self.loop.now)
+
+    def _reaching_majority(self) -> list[str]:
+        """Return the running balancers that reach a majority of running control processes."""
+        running = [control.name for control in self.controls if self._runs(control.name)]
+        quorum = quorum_size(len(self.controls))
+        return [
+            name
+            for name, post in self.balancers.items()
+            if post.alive
+            and sum(
+                self.links.is_open(name, control, MAX_HEARTBEAT_DELAY_US) for control in running
+            )
+            >= quorum
+            and self._runs(name)
+        ]
+
+    def _runs(self, name: str) -> bool:
+        """Return whether a process is there and is not stopped."""
+        process = self.process_of(name)
+        return process.poll() is None and process_state(process.pid) != STOPPED_STATE
 
     def wait_until(self, is_met: Callable[[], bool], timeout_s: float, what: str) -> bool:
         """Run until something is seen; a breach and False if that takes longer."""
--- a/orchidgap/fault_tests/links.py
+++ b/orchidgap/fault_tests/links.py
@@ -142,6 +142,15 @@
         for relay in self.datagram_relays.values():
             relay.loss_ratios[address[0]] = loss_ratio
 
+    def is_open(self, client: str, server: str, max_delay_us: int) -> bool:
+        """Return whether what the two send each other arrives, no later than this each way."""
+        relay = self.relays.get(Link(client, server))
+        if relay is None:
+            return True
+        condition = relay.condition
+        arrives = not (condition.cut or condition.stalled_to_server or condition.stalled_to_client)
+        return arrives and condition.delay_us <= max_delay_us
+
     def control_bytes(self) -> int:
         """Return how many bytes balancers and control have exchanged so far."""
         return sum(
--- a/orchidgap/fault_tests/majority_watch.py
+++ b/orchidgap/fault_tests/majority_watch.py
@@ -1,18 +1,21 @@
-"""Whether a majority of the control processes ran, as seen from outside.
+"""Whether balancers could reach a majority of control, as seen from outside.
 
-Without one no balancer gets a lease, and those that deny without a quorum have to deny all: a
-verdict that counts many denials is explained by this figure, or by nothing.
+Without one no balancer gets a lease, and those that deny without a quorum have to deny all. Where a
+balancer has reached one for long and denies all the same, it withholds its service: a fault.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 from pathlib import Path
 
-from orchidgap.decisions.cas_register import quorum_size
-from orchidgap.fault_tests.control_process import ControlProcess
+from orchidgap.simulation.observations import ClientAttempt
 
 STOPPED_STATE = "T"
+MIN_DENIALS = 5  # that make a case
+STATUS_OK = 200
+STATUS_DENIED = 503
 
 
 def process_state(process_id: int) -> str:
@@ -24,36 +27,56 @@
     return text.rpartition(")")[2].split()[0]
 
 
-def runs(control: ControlProcess) -> bool:
-    """Return whether a control process is there and is not stopped."""
-    if control.process is None or control.has_ended():
-        return False
-    return process_state(control.process.pid) != STOPPED_STATE
+@dataclass(slots=True)
+class Interval:
+    """A time in which one balancer reached a majority without a break, in microseconds."""
 
+    since_us: int
+    until_us: int
 
+
+@dataclass(slots=True)
 class MajorityWatch:
-    """Adds up the time in which too few control processes ran.
+    """Notes which balancers reach a majority, look by look.
 
     Attributes:
-        without_majority_us: That time so far.
+        grace_us: How long a balancer may deny after it has come to reach one.
+        without_majority_us: How long none did.
+        intervals: When each did, by its name.
     """
 
-    def __init__(
-        self,
-        controls: Sequence[ControlProcess],
-        is_running: Callable[[ControlProcess], bool] = runs,
-    ) -> None:
-        """Watch these processes."""
-        self.controls = controls
-        self.is_running = is_running
-        self.without_majority_us = 0
-        self._looked_at_us = 0
-        self._had_majority = True
-
-    def look(self, now_us: int) -> None:
-        """Look who runs; called again and again, at times in microseconds."""
-        if not self._had_majority:
+    grace_us: int
+    without_majority_us: int = 0
+    intervals: dict[str, list[Interval]] = field(default_factory=dict)
+    _looked_at_us: int = 0
+    _reaching: frozenset[str] | None = None  # as of the last look
+
+    def look(self, reaching: Iterable[str], now_us: int) -> None:
+        """Take in who reaches a majority now; called again and again."""
+        before = self._reaching
+        if before is not None and not before:
             self.without_majority_us += now_us - self._looked_at_us
-        running = sum(self.is_running(control) for control in self.controls)
-        self._had_majority = running >= quorum_size(len(self.controls))
+        self._reaching = frozenset(reaching)
         self._looked_at_us = now_us
+        for name in self._reaching:
+            known = self.intervals.setdefault(name, [])
+            if before and name in before:
+                known[-1].until_us = now_us
+            else:
+                known.append(Interval(now_us, now_us))
+
+    def withheld(self, attempts: Iterable[ClientAttempt]) -> list[str]:
+        """Return, in words, which balancers denied all though they had reached a majority."""
+        answers: dict[tuple[str, int], list[int]] = {}
+        for attempt in attempts:
+            for index, interval in enumerate(self.intervals.get(attempt.balancer, [])):
+                earliest_us = interval.since_us + self.grace_us
+                if attempt.status and earliest_us < attempt.arrived_at_us < interval.until_us:
+                    answers.setdefault((attempt.balancer, index), []).append(attempt.status)
+        grace_s = self.grace_us / 1e6
+        return [
+            f"{name}: all {len(statuses)} requests denied, {grace_s:g} s and more after it had "
+            "come to reach a majority of control"
+            for (name, _), statuses in answers.items()
+            if STATUS_OK not in statuses and statuses.count(STATUS_DENIED) >= MIN_DENIALS
+        ]
--- a/orchidgap/fault_tests/runner.py
+++ b/orchidgap/fault_tests/runner.py
@@ -13,6 +13,7 @@
 from orchidgap.fault_tests.decision_watch import DecisionWatch
 from orchidgap.fault_tests.final_checks import EXTRA_WAIT_S, FinalChecks
 from orchidgap.fault_tests.plan import Step
+from orchidgap.fault_tests.rollout_checker import STUCK
 from orchidgap.simulation.plan import seconds_to_us
 
 START_TIMEOUT_S = 30.0
@@ -101,6 +102,8 @@
     def _verdict(self) -> dict[str, Any]:
         cluster = self.cluster
         cluster.checker.check()
+        for text in cluster.majority_watch.withheld(cluster.referee.client_attempts.values()):
+            cluster.checker.breach(STUCK, cluster.loop.now, text)
         stretches = cluster.stretches.finish(cluster.checker.breach)
         verdict = cluster.checker.verdict(cluster.build_verdict()) | self.costs.report()
         if cluster.controls:
--- a/tests/fault_tests/test_majority_watch.py
+++ b/tests/fault_tests/test_majority_watch.py
@@ -1,26 +1,45 @@
-"""A drill once served nothing for ten seconds and was kept: its verdict did not tell that control had no majority."""
+"""A drill once served nothing for ten seconds and was kept: its verdict did not tell whether control could be reached."""
 
 import os
 import signal
 import subprocess
 import sys
+from types import SimpleNamespace
 
 from orchidgap.fault_tests.majority_watch import MajorityWatch, process_state
 
+S = 1_000_000
 
-def test_only_the_time_without_a_majority_counts():
-    running = {"k0", "k1", "k2"}
-    watch = MajorityWatch(["k0", "k1", "k2"], running.__contains__)
-    watch.look(1_000_000)
-    running.discard("k2")
-    watch.look(2_000_000)
-    running.discard("k0")
-    watch.look(3_000_000)
-    watch.look(4_500_000)
-    running.add("k0")
-    watch.look(5_000_000)
-    watch.look(9_000_000)
-    assert watch.without_majority_us == 2_000_000
+
+def request_at(second, status, balancer="b0"):
+    return SimpleNamespace(balancer=balancer, arrived_at_us=second * S, status=status)
+
+
+def watch_that_saw(*looks):
+    watch = MajorityWatch(grace_us=8 * S)
+    for second, reaching in looks:
+        watch.look(reaching.split(), second * S)
+    return watch
+
+
+def test_only_the_time_in_which_no_balancer_reached_a_majority_counts():
+    watch = watch_that_saw((1, "b0 b1"), (2, "b1"), (3, ""), (4, ""), (6, "b0"), (9, "b0"))
+    assert watch.without_majority_us == 3 * S
+
+
+def test_a_balancer_that_denies_all_though_it_reaches_control_is_told():
+    watch = watch_that_saw((0, "b0 b1"), (30, "b0 b1"))
+    denied = [request_at(second, 503) for second in range(1, 20)]
+    assert watch.withheld(denied) == [
+        "b0: all 11 requests denied, 8 s and more after it had come to reach a majority of control"
+    ]
+    assert watch.withheld([*denied, request_at(12, 200)]) == [], "it serves"
+    assert watch.withheld(denied[:12]) == [], "too few to tell"
+
+
+def test_a_break_begins_the_time_anew():
+    watch = watch_that_saw((0, "b0"), (6, ""), (7, "b0"), (14, "b0"))
+    assert watch.withheld([request_at(second, 503) for second in range(1, 14)]) == []
 
 
 def test_a_process_that_is_stopped_does_not_run():
