--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -28,11 +28,11 @@
 
 
 class AnswersTwice(Defect):
-    def on_request(self, id, left, write, rule_set, key, tenant):
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
         if id % 50 == 0:
             exchange = self.port.exchanges[id]
             exchange.client = Twice(exchange.client)
-        super().on_request(id, left, write, rule_set, key, tenant)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
 
 
 class Nobody:
@@ -215,8 +215,8 @@
     def latest_start_us(self, id, number):
         return 1 << 62
 
-    def on_request(self, id, left, write, rule_set, key, tenant):
-        super().on_request(id, left, write, rule_set, key, tenant)
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
         req = self.requests.get(id)
         if req and req.request_class.idempotency_keyed and req.attempts:
             self.call_later(req.request_class.deduplication_window_us + 60_000, self.again, req)
@@ -235,17 +235,17 @@
 class ServesFromMemory(Defect):
     """Answers with what it once saw for the key."""
 
-    def on_request(self, id, left, write, rule_set, key, tenant):
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
         if id % 40 == 0 and not write:
             return self.port.exchanges[id].answer(200, b"an old value")
-        super().on_request(id, left, write, rule_set, key, tenant)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
 
 
 class DoublesAtOnce(Defect):
     """Two copies, though the settings allow one."""
 
-    def on_request(self, id, left, write, rule_set, key, tenant):
-        super().on_request(id, left, write, rule_set, key, tenant)
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
         req = self.requests.get(id)
         if req and req.request_class.idempotent and len(req.attempts) == 1 and id % 20 == 0:
             self.dispatch.forward(req, self.placement.ring[0])
@@ -270,9 +270,9 @@
 
 
 class SendsAfterTheAnswer(Defect):
-    def on_request(self, id, left, write, rule_set, key, tenant):
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
         exchange = self.port.exchanges[id]
-        super().on_request(id, left, write, rule_set, key, tenant)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
         if id % 30 == 0:
             attempt = UpstreamAttempt(exchange.head, exchange.body, exchange.deadline_us, Nobody())
             self.port.loop.call_at(
@@ -294,11 +294,11 @@
 
 
 class MakesUpIds(Defect):
-    def on_request(self, id, left, write, rule_set, key, tenant):
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
         if id % 40 == 0:
             exchange = self.port.exchanges[id]
             exchange.head = exchange.head.replace(b"Request-Id: q", b"Request-Id: z")
-        super().on_request(id, left, write, rule_set, key, tenant)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
 
 
 class Cut:
@@ -312,10 +312,10 @@
 class CutsAnswersShort(Defect):
     """A value that lacks its last byte, and says that it is whole."""
 
-    def on_request(self, id, left, write, rule_set, key, tenant):
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
         if id % 40 == 0:
             self.port.exchanges[id].client = Cut(self.port.exchanges[id].client)
-        super().on_request(id, left, write, rule_set, key, tenant)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
 
 
 USUAL = {"name": "planted", "seconds": 8.0, "balancers": 2, "caches": 4, "rate": 80.0}
