--- a/orchidgap/simulation/operations.py
+++ b/orchidgap/simulation/operations.py
@@ -184,7 +184,7 @@
             referee.record_breach(
                 "lost", now, f"{name}: was told to drain, and holds an idle connection"
             )
-        elif now - link.ask.began < LATELY:
+        elif now - link.ask.write_started_us < LATELY:
             referee.record_breach(
                 "lost", now, f"{name}: was told to drain, and holds {link.ask.id.decode()}"
             )
