--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -29,7 +29,7 @@
 from orchidgap.net.addresses import Address, format_address
 from orchidgap.net.loop import LateTurn
 from orchidgap.simulation.balancer_instance import BalancerInstance, Pause
-from orchidgap.simulation.clients import Callers
+from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.environment import Decider
 from orchidgap.simulation.loopback_network import LoopbackNetwork
 from orchidgap.simulation.observations import ClientAttempt
@@ -158,10 +158,10 @@
         """Make a balancer's place."""
         return ClusterBalancer(self, name, number, zone, self.policy, self.launcher)
 
-    def make_clients(self) -> Callers:
+    def make_clients(self) -> Clients:
         """Make the clients."""
         if not self.proposal_count:
-            return Callers(self)
+            return Clients(self)
         return VersionClients(self, lambda: self.checker, self.recent_versions)
 
     def balancer_settings(
--- a/orchidgap/fault_tests/runner.py
+++ b/orchidgap/fault_tests/runner.py
@@ -59,7 +59,7 @@
         cluster.referee.started_at_us = cluster.start
         cluster.loop.call_later(LOOK_INTERVAL_US, self.costs.sample)
         cluster.clients.end = cluster.start + seconds_to_us(MAX_DURATION_S)
-        cluster.loop.call_soon(cluster.clients.arrive)
+        cluster.loop.call_soon(cluster.clients.on_arrival)
         cluster.loop.call_soon(self.decision_watch.poll)
 
     def _all_ready(self) -> bool:
--- a/orchidgap/fault_tests/version_clients.py
+++ b/orchidgap/fault_tests/version_clients.py
@@ -6,7 +6,7 @@
 
 from orchidgap.fault_tests.plan import COMMON_CLASS, class_of_version
 from orchidgap.fault_tests.rollout_checker import RolloutChecker
-from orchidgap.simulation.clients import Callers
+from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.environment import Environment
 from orchidgap.simulation.observations import ClientAttempt, Operation
 
@@ -14,7 +14,7 @@
 COMMON_CLASS_RATIO = 0.3  # of all requests
 
 
-class VersionClients(Callers):
+class VersionClients(Clients):
     """Clients that also send requests of classes that only one version has."""
 
     def __init__(
@@ -28,9 +28,9 @@
         self.checker = checker
         self.recent_versions = recent_versions
 
-    def draw(self) -> Operation:
+    def draw_operation(self) -> Operation:
         """Draw an operation of the common class, or of one version's own."""
-        op = super().draw()
+        op = super().draw_operation()
         # what was replaced long ago is asked for too: whoever comes back may have it still
         if self.rng.random() < RECENT_VERSION_RATIO:
             numbers = self.recent_versions()
@@ -38,21 +38,21 @@
             numbers = list(self.checker().proposals)
         is_common = self.rng.random() < COMMON_CLASS_RATIO
         name = COMMON_CLASS if is_common else class_of_version(self.rng.choice(numbers))
-        op.request_class = next(work for work in self.works if work.name == name)
+        op.request_class = next(work for work in self.request_classes if work.name == name)
         op.counted = name == COMMON_CLASS
         return op
 
-    def unknown(self, ask: ClientAttempt) -> None:
+    def on_unknown_class(self, attempt: ClientAttempt) -> None:
         """Take an answer that the class is unknown for what it is: another version governs."""
         self.environment.referee.aborted -= 1
-        if ask.operation.request_class.name == COMMON_CLASS:
-            super().unknown(ask)
+        if attempt.operation.request_class.name == COMMON_CLASS:
+            super().on_unknown_class(attempt)
 
-    def choose(self, but: str = "", key: int = 0) -> str | None:
+    def choose_balancer(self, excluded: str = "", key: int = 0) -> str | None:
         """Choose evenly, also balancers that deny: which version governs them is the question."""
         names = [
             name
             for name, post in self.environment.balancers.items()
-            if post.alive and post.ready_at and name != but
+            if post.alive and post.ready_at and name != excluded
         ]
         return self.rng.choice(names) if names else None
--- /dev/null
+++ b/orchidgap/simulation/balancer_connection.py
@@ -0,0 +1,261 @@
+"""A stand-in client's end of a connection to a balancer, over HTTP/1.1."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+from orchidgap.http1.messages import Message
+from orchidgap.http1.readers import ResponseReader
+from orchidgap.http1.writers import parse_seconds
+from orchidgap.net.connection import Connection
+from orchidgap.simulation.observations import LARGE_BODY_BYTES, ClientAttempt
+from orchidgap.simulation.plan import milliseconds_to_us
+
+if TYPE_CHECKING:
+    from orchidgap.simulation.clients import Clients
+
+# after its client timeout an answer is waited for no longer
+OVERDUE_US = 3_000_000
+# an end that comes so soon after a request was written crossed it on the way
+CROSSING_US = 50_000
+PIECE_BYTES = 16_384  # of a large body that are written at once
+CLOSED = "closed"
+NO_STATUS = -1
+STATUS_UNKNOWN_CLASS = 404
+STATUS_FAILED = 500
+
+
+class BalancerConnection:
+    """One connection; it carries one request at a time.
+
+    Attributes:
+        clients: Whose it is.
+        balancer: The balancer's name.
+        incarnation: Which of its processes was connected to.
+        attempt: The request under way, None between requests.
+        message: What was written for it.
+        request_count: Requests that it has carried.
+        unsent_body: Of a large request, what is yet to be written.
+        bytes_per_s: The pace of a slow client, 0 for as fast as it goes.
+        conn: The socket with its buffers.
+    """
+
+    __slots__ = (
+        "attempt",
+        "balancer",
+        "bytes_per_s",
+        "clients",
+        "conn",
+        "incarnation",
+        "message",
+        "reader",
+        "request_count",
+        "unsent_body",
+    )
+
+    def __init__(self, clients: Clients, balancer: str, sock: socket.socket, opening: bool) -> None:
+        """Take a socket that is connected, or is on its way."""
+        self.clients = clients
+        self.balancer = balancer
+        self.incarnation = clients.environment.incarnation_of(balancer)
+        self.reader = ResponseReader()
+        self.attempt: ClientAttempt | None = None
+        self.message: tuple[bytes, ...] = ()
+        self.request_count = 0
+        self.unsent_body = b""
+        self.bytes_per_s = 0
+        self.conn = Connection(clients.loop, sock, self, opening=opening, stamped=True)
+        clients.connections[balancer][self] = None
+
+    # --- writing a request
+
+    def start(self, attempt: ClientAttempt, message: tuple[bytes, ...]) -> None:
+        """Write a request: its head, and its body if it has one."""
+        self.attempt = attempt
+        self.message = message
+        attempt.write_started_us = self.clients.loop.clock()
+        self.request_count += 1
+        self._draw_pace()
+        if len(message) > 1 and len(message[1]) > LARGE_BODY_BYTES:
+            self._start_large(attempt, message)
+            return
+        self.conn.send(*message)
+        if self.attempt is attempt and not self.conn.connecting:
+            self.on_request_written()
+
+    def _draw_pace(self) -> None:
+        bodies = self.clients.plan.large_bodies
+        is_slow = (
+            bool(bodies.slow_reader_ratio) and self.clients.rng.random() < bodies.slow_reader_ratio
+        )
+        self.bytes_per_s = round(bodies.slow_rate_kb * 1_000) if is_slow else 0
+
+    def _start_large(self, attempt: ClientAttempt, message: tuple[bytes, ...]) -> None:
+        self.unsent_body = message[1]
+        self.conn.on_drained = self.send_more_body
+        self.conn.send(message[0])
+        is_under_way = self.attempt is attempt
+        if is_under_way and not self.conn.connecting and not self.conn.write_buffer:
+            self.send_more_body()
+
+    def send_more_body(self) -> None:
+        """Write the next pieces of a large body."""
+        while self.unsent_body and self._can_write():
+            piece = self.unsent_body[:PIECE_BYTES]
+            self.unsent_body = self.unsent_body[PIECE_BYTES:]
+            was_last = not self.unsent_body
+            self.conn.send(piece)
+            if was_last:
+                break
+            if self.bytes_per_s:
+                delay_us = len(piece) * 1_000_000 // self.bytes_per_s
+                self.clients.loop.call_later(delay_us, self.send_more_body)
+                return
+        is_written = not self.unsent_body and not self.conn.write_buffer
+        if is_written and self.attempt and not self.attempt.arrived_at_us:
+            self.conn.on_drained = None
+            self.on_request_written()
+
+    def _can_write(self) -> bool:
+        return self.conn.is_open and not self.conn.write_buffer and self.attempt is not None
+
+    def opened(self) -> None:
+        """The connection has come up."""
+        if self.unsent_body:
+            self.send_more_body()
+        elif self.attempt:
+            self.on_request_written()
+
+    def on_request_written(self) -> None:
+        """The last byte of the request is written: its time runs."""
+        attempt = self.attempt
+        if attempt is None:
+            return
+        clients = self.clients
+        # the turn may have begun long before this write
+        now_us = clients.loop.clock()
+        timeout_us = milliseconds_to_us(attempt.operation.request_class.client_timeout_ms)
+        attempt.arrived_at_us = now_us
+        attempt.deadline_us = now_us + timeout_us
+        attempt.max_attempts = clients.environment.max_attempts_at(now_us)
+        clients.environment.referee.on_client_attempt(attempt)
+        clients.loop.call_later(timeout_us + OVERDUE_US, clients.on_overdue, self, attempt)
+
+    # --- reading an answer
+
+    def received(self, view: memoryview) -> None:
+        """Take in a part of the answer."""
+        reader = self.reader
+        # the kernel's time: this process may have stood still before it read
+        received_at_us = self.conn.received_at_us
+        if self.attempt is None:
+            self.clients.environment.referee.on_extra_bytes(None, received_at_us)
+            self.close()
+            return
+        reader.feed(view)
+        if not self.attempt.first_answer_byte_us:
+            self.attempt.first_answer_byte_us = received_at_us
+        if self.unsent_body:  # answered before all was sent: the rest does not matter any more
+            self.unsent_body = b""
+            self.conn.on_drained = None
+            self.on_request_written()
+        if self.bytes_per_s and not reader.message.complete:
+            self._pause_reading(len(view))
+        if reader.message.complete:
+            self._on_answer(self.attempt, reader.message, received_at_us)
+        elif reader.message.error_status:
+            self.conn.fail("no proper answer")
+
+    def _pause_reading(self, byte_count: int) -> None:
+        self.conn.pause_reading(True)
+        delay_us = byte_count * 1_000_000 // self.bytes_per_s
+        self.clients.loop.call_later(delay_us, self.conn.pause_reading, False)
+
+    def _on_answer(self, attempt: ClientAttempt, message: Message, received_at_us: int) -> None:
+        """The answer is whole."""
+        self.attempt = None
+        clients = self.clients
+        referee = clients.environment.referee
+        if message.body_size > LARGE_BODY_BYTES:
+            referee.large_bodies += 1
+        status = message.status
+        retry_after_us = parse_seconds(message.fields.get(b"retry-after", b"")) or 0
+        has_excess_data = self.reader.has_excess_data
+        stays_open = message.keep_alive and not has_excess_data
+        referee.on_answer(attempt, status, message.body, received_at_us)
+        if status == STATUS_UNKNOWN_CLASS:
+            clients.on_unknown_class(attempt)
+        if has_excess_data:
+            referee.on_extra_bytes(attempt, received_at_us)
+        self.reader.reset()
+        if stays_open:
+            clients.idle[self.balancer].append(self)
+        else:
+            self.conn.close_gracefully()
+        delay_us = clients.environment.client_one_way_us()
+        clients.loop.call_later(delay_us, clients.on_outcome, attempt, status, retry_after_us)
+
+    # --- its end
+
+    def ended(self, what: str) -> None:
+        """The connection has ended; a request under way is sent again, or judged."""
+        clients = self.clients
+        attempt = self.attempt
+        self.attempt = None
+        self._forget()
+        if attempt is None or attempt.status or attempt.abandoned:
+            return
+        environment = clients.environment
+        if not environment.is_alive(self.balancer, self.incarnation):
+            attempt.abandoned = True
+            clients.on_outcome(attempt, 0, 0)
+            return
+        unread = what != CLOSED and not self.reader.started
+        if unread:
+            environment.referee.failed_connections += 1
+        if self.request_count > 1 and (unread or self._crossed(attempt)):
+            clients.send_attempt(attempt, self.message, self.balancer, fresh=True)
+            return
+        self._judge_end(attempt, what)
+        clients.on_outcome(attempt, STATUS_FAILED, 0)
+
+    def _crossed(self, attempt: ClientAttempt) -> bool:
+        """Return whether the request and the connection's end met on the way.
+
+        Asked on real sockets only. An end that comes later was made by a balancer that had the
+        request, and one that a host has seen was read.
+        """
+        if self.clients.environment.network.virtual or self.reader.started:
+            return False
+        age_us = self.clients.loop.clock() - attempt.arrived_at_us
+        return age_us <= CROSSING_US and not attempt.host_attempts
+
+    def _judge_end(self, attempt: ClientAttempt, what: str) -> None:
+        """Tell the checker of a request whose connection ended under it."""
+        reader = self.reader
+        now_us = self.clients.loop.now
+        referee = self.clients.environment.referee
+        if what == CLOSED and reader.started and reader.on_connection_closed():
+            why = f"{attempt.id.decode()}: no telling where its answer ends"
+            referee.record_breach("lost", now_us, why)
+        elif reader.message.error_status or reader.started:
+            # it can tell that this is not whole
+            referee.on_truncated_answer(attempt, now_us)
+        elif self.request_count == 1 and not attempt.host_attempts:
+            # the first on its connection, with nothing sent on for it: failed, not lost
+            attempt.status = NO_STATUS
+            referee.aborted += 1
+        else:
+            referee.on_connection_lost(attempt, now_us)
+
+    def close(self) -> None:
+        """Close it; nobody is told."""
+        self._forget()
+        self.conn.close()
+
+    def _forget(self) -> None:
+        self.clients.connections[self.balancer].pop(self, None)
+        idle = self.clients.idle[self.balancer]
+        if self in idle:
+            idle.remove(self)
--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -1,510 +1,329 @@
-"""Stand-in clients: reqs come when they come, whether or not earlier ones were answered (open arrivals)."""
+"""Stand-in clients: requests come when they come, whether or not earlier ones were answered.
+
+Arrivals are open. What a client wants is an `Operation`; each try at one balancer is a
+`ClientAttempt`. The order of random draws is part of a simulation's trace.
+"""
 
 from __future__ import annotations
 
 import math
-import socket
 from bisect import bisect
 from itertools import accumulate
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from orchidgap.http1.readers import ResponseReader
-from orchidgap.http1.writers import parse_seconds
 from orchidgap.net.attempt_failure import AttemptFailure
-from orchidgap.net.connection import Connection
-from orchidgap.simulation.observations import LARGE_BODY_BYTES, ClientAttempt, Operation
+from orchidgap.simulation.balancer_connection import BalancerConnection
+from orchidgap.simulation.observations import ClientAttempt, Operation
 from orchidgap.simulation.plan import RequestClassSpec, milliseconds_to_us, seconds_to_us
 
 if TYPE_CHECKING:
     from orchidgap.simulation.environment import Environment
 
-LATE_BY = 3_000_000  # after its client timeout an answer is waited for no longer
-OWED = 3_000_000  # what a bad client is owed an error or a close within
-CROSSING_US = 50_000
-PIECE = 16_384  # bytes of a large req that are written at once
-BUSY = 10.0
-SPREAD = 0.25  # work takes a time of this gamma scale, at shape 4
-
-
-class CallerLink:
-    """A client's end of a connection to a balancer; it carries one req at a time."""
-
-    __slots__ = (
-        "ask",
-        "clients",
-        "conn",
-        "left",
-        "life",
-        "message",
-        "pace",
-        "post",
-        "reader",
-        "used",
-    )
-
-    def __init__(self, callers: Callers, post: str, sock: socket.socket, opening: bool) -> None:
-        self.clients, self.post = callers, post
-        self.life = callers.environment.incarnation_of(post)
-        self.reader = ResponseReader()
-        self.ask: ClientAttempt | None = None
-        self.message: tuple[bytes, ...] = ()
-        self.used = 0
-        self.left = b""  # of a large req, what is yet to be written
-        self.pace = 0  # bytes a second of a slow side, 0 for as fast as it goes
-        self.conn = Connection(callers.loop, sock, self, opening=opening, stamped=True)
-        callers.links[post][self] = None
-
-    def carry(self, ask: ClientAttempt, message: tuple[bytes, ...]) -> None:
-        self.ask, self.message = ask, message
-        ask.write_started_us = self.clients.loop.clock()
-        self.used += 1
-        bulk, rng = self.clients.plan.large_bodies, self.clients.rng
-        slow = bool(bulk.slow_reader_ratio) and rng.random() < bulk.slow_reader_ratio
-        self.pace = round(bulk.slow_rate_kb * 1_000) if slow else 0
-        if len(message) > 1 and len(message[1]) > LARGE_BODY_BYTES:
-            self.left = message[1]
-            self.conn.on_drained = self.more
-            self.conn.send(message[0])
-            if self.ask is ask and not self.conn.connecting and not self.conn.write_buffer:
-                self.more()
-            return
-        self.conn.send(*message)
-        if self.ask is ask and not self.conn.connecting:
-            self.written()
-
-    def more(self) -> None:
-        """The next pieces of a large req."""
-        while self.left and self.conn.is_open and not self.conn.write_buffer and self.ask:
-            piece, self.left = self.left[:PIECE], self.left[PIECE:]
-            last = not self.left
-            self.conn.send(piece)
-            if last:
-                break
-            if self.pace:
-                self.clients.loop.call_later(len(piece) * 1_000_000 // self.pace, self.more)
-                return
-        if not self.left and not self.conn.write_buffer and self.ask and not self.ask.arrived_at_us:
-            self.conn.on_drained = None
-            self.written()
-
-    def opened(self) -> None:
-        if self.left:
-            self.more()
-        elif self.ask:
-            self.written()
-
-    def written(self) -> None:
-        ask = self.ask
-        if ask:
-            # the turn may have begun long before this write
-            now = self.clients.loop.clock()
-            ask.arrived_at_us, ask.deadline_us = (
-                now,
-                now + milliseconds_to_us(ask.operation.request_class.client_timeout_ms),
-            )
-            ask.max_attempts = self.clients.environment.max_attempts_at(now)
-            self.clients.environment.referee.on_client_attempt(ask)
-            self.clients.loop.call_later(
-                ask.deadline_us - now + LATE_BY, self.clients.overdue, self, ask
-            )
-
-    def received(self, view: memoryview) -> None:
-        reader = self.reader
-        # the kernel's time: this process may have stood still before it read
-        received_at_us = self.conn.received_at_us
-        if self.ask is None:
-            self.clients.environment.referee.on_extra_bytes(None, received_at_us)
-            return self.close()
-        reader.feed(view)
-        if not self.ask.first_answer_byte_us:
-            self.ask.first_answer_byte_us = received_at_us
-        if self.left:  # answered before it had sent all: what is left does not matter any more
-            self.left, self.conn.on_drained = b"", None
-            self.written()
-        if self.pace and not reader.message.complete:
-            self.conn.pause_reading(True)
-            self.clients.loop.call_later(
-                len(view) * 1_000_000 // self.pace, self.conn.pause_reading, False
-            )
-        if reader.message.complete:
-            ask, self.ask = self.ask, None
-            if reader.message.body_size > LARGE_BODY_BYTES:
-                self.clients.environment.referee.large_bodies += 1
-            body, status = reader.message.body, reader.message.status
-            pause = parse_seconds(reader.message.fields.get(b"retry-after", b"")) or 0
-            extra, lasts = reader.has_excess_data, reader.message.keep_alive
-            self.clients.environment.referee.on_answer(ask, status, body, received_at_us)
-            if status == 404:
-                self.clients.unknown(ask)
-            if extra:
-                self.clients.environment.referee.on_extra_bytes(ask, received_at_us)
-            reader.reset()
-            if lasts and not extra:
-                self.clients.idle[self.post].append(self)
-            else:
-                self.conn.close_gracefully()
-            self.clients.loop.call_later(
-                self.clients.environment.client_one_way_us(), self.clients.heard, ask, status, pause
-            )
-        elif reader.message.error_status:
-            self.conn.fail("no proper answer")
-
-    def ended(self, what: str) -> None:
-        callers, ask = self.clients, self.ask
-        self.ask = None
-        callers.links[self.post].pop(self, None)
-        if self in callers.idle[self.post]:
-            callers.idle[self.post].remove(self)
-        if ask is None or ask.status or ask.abandoned:
-            return
-        environment = callers.environment
-        if not environment.is_alive(self.post, self.life):
-            ask.abandoned = True
-            return callers.heard(ask, 0, 0)
-        unread = what != "closed" and not self.reader.started
-        if unread:
-            environment.referee.failed_connections += 1
-        # On sockets an end that comes with the request crossed it on the way, unless a host has seen
-        # it; one that comes later was made by a balancer that had the request.
-        age_us = callers.loop.clock() - ask.arrived_at_us
-        came_with_it = not environment.network.virtual and age_us <= CROSSING_US
-        crossed = came_with_it and not self.reader.started and not ask.host_attempts
-        if self.used > 1 and (unread or crossed):  # closed between two reqs, as this one came
-            return callers.send(ask, self.message, self.post, fresh=True)
-        if what == "closed" and self.reader.started and self.reader.on_connection_closed():
-            why = f"{ask.id.decode()}: no telling where its answer ends"
-            environment.referee.record_breach("lost", callers.loop.now, why)
-        elif self.reader.message.error_status or self.reader.started:
-            environment.referee.on_truncated_answer(
-                ask, callers.loop.now
-            )  # it can tell that this is not whole
-        elif self.used == 1 and not ask.host_attempts:
-            ask.status = (
-                -1
-            )  # the first on its connection, with nothing sent on for it: failed, not lost
-            environment.referee.aborted += 1
-        else:
-            environment.referee.on_connection_lost(ask, callers.loop.now)
-        callers.heard(ask, 500, 0)
-
-    def close(self) -> None:
-        if self in self.clients.idle[self.post]:
-            self.clients.idle[self.post].remove(self)
-        self.clients.links[self.post].pop(self, None)
-        self.conn.close()
-
-
-class Callers:
-    """All clients, their connections and their tries."""
+BUSY_WEIGHT = 10.0  # of a balancer that gets more than others
+WORK_GAMMA_SHAPE = 4.0
+WORK_GAMMA_SCALE = 0.25
+ZIPF_OFFSET = 3.0
+BACKOFF_JITTER = (0.7, 1.3)
+RETRY_AFTER_JITTER = (1.0, 1.2)
+HARMLESS_STATUSES = (0, 429, 503)  # after which any retry does no harm; 0 for no answer
+STATUS_OK = 200
+LEAST_REST_RATIO = 0.01
+
+
+class HotKeys(NamedTuple):
+    """Keys that take a part of all requests beyond their own."""
+
+    ratio: float
+    keys: list[int]
+
+
+class Clients:
+    """All clients, their connections and their attempts.
+
+    Attributes:
+        idle: Connections without a request under way, by balancer.
+        connections: All that are open, by balancer.
+        attempt_count: Attempts so far.
+        load: The factor of the plan's rate of requests.
+        hot_keys: What is hot now.
+        scan_ratio: The part of reads that go to keys that nobody asked for before.
+        demand_factors: The factor of each tenant's requests, where that is not 1.
+        traffic_ratios: The part of all traffic that a balancer gets, where that is set.
+        end: When the last request comes, in microseconds.
+    """
 
     def __init__(self, environment: Environment) -> None:
-        self.environment, self.plan, self.loop, self.rng = (
-            environment,
-            environment.plan,
-            environment.loop,
-            environment.rng,
-        )
-        self.idle: dict[str, list[CallerLink]] = {post: [] for post in environment.balancers}
-        self.links: dict[str, dict[CallerLink, None]] = {post: {} for post in environment.balancers}
-        works = environment.plan.request_classes()
-        self.works, self.work_ends = works, list(accumulate(work.share for work in works))
-        self.weights = {
-            post: 1.0 + environment.plan.clients.balancer_skew * self.rng.uniform(-1, 1)
-            for post in environment.balancers
+        """Draw which balancers get more than others; nothing is asked yet."""
+        self.environment = environment
+        self.plan = environment.plan
+        self.loop = environment.loop
+        self.rng = environment.rng
+        self.idle: dict[str, list[BalancerConnection]] = {
+            name: [] for name in environment.balancers
+        }
+        self.connections: dict[str, dict[BalancerConnection, None]] = {
+            name: {} for name in environment.balancers
         }
-        if environment.plan.clients.busy_balancer_ratio:
-            for post in self.rng.sample(
-                list(environment.balancers),
-                round(environment.plan.clients.busy_balancer_ratio * len(environment.balancers)),
-            ):
-                self.weights[post] *= BUSY
-        self.key_ends = list(
-            accumulate(
-                (rank + 3.0) ** -environment.plan.keys.zipf
-                for rank in range(environment.plan.keys.count)
-            )
+        self.request_classes = self.plan.request_classes()
+        self._class_ends = list(accumulate(spec.share for spec in self.request_classes))
+        self.weights = self._draw_weights()
+        key_weights = (
+            (rank + ZIPF_OFFSET) ** -self.plan.keys.zipf for rank in range(self.plan.keys.count)
         )
-        self.asked, self.scanned = 0, 0
+        self._key_ends = list(accumulate(key_weights))
+        self.attempt_count = 0
+        self._scanned_count = 0
         self.load = 1.0
-        self.hot: tuple[float, list[int]] = (0.0, [])
-        self.scan = 0.0
-        self.swell: dict[str, float] = {}
-        self.lop: dict[str, float] = {}
-        self.end = environment.start + seconds_to_us(environment.plan.duration_s)
+        self.hot_keys = HotKeys(0.0, [])
+        self.scan_ratio = 0.0
+        self.demand_factors: dict[str, float] = {}
+        self.traffic_ratios: dict[str, float] = {}
+        self.end = environment.start + seconds_to_us(self.plan.duration_s)
+
+    def _draw_weights(self) -> dict[str, float]:
+        settings = self.plan.clients
+        names = list(self.environment.balancers)
+        weights = {name: 1.0 + settings.balancer_skew * self.rng.uniform(-1, 1) for name in names}
+        if settings.busy_balancer_ratio:
+            busy_count = round(settings.busy_balancer_ratio * len(names))
+            for name in self.rng.sample(names, busy_count):
+                weights[name] *= BUSY_WEIGHT
+        return weights
 
     # --- what is asked
 
-    def rate(self) -> float:
-        """Reqs a second, now."""
-        part = (self.loop.now - self.environment.start) / max(1, self.end - self.environment.start)
-        shape = {
+    def request_rate(self) -> float:
+        """Return the requests a second, now."""
+        duration_us = max(1, self.end - self.environment.start)
+        progress = (self.loop.now - self.environment.start) / duration_us
+        shape_factors = {
             "steady": 1.0,
-            "ramp": 0.7 + 0.6 * part,
-            "wave": 1.0 + 0.35 * math.sin(part * 12.6),
+            "ramp": 0.7 + 0.6 * progress,
+            "wave": 1.0 + 0.35 * math.sin(progress * 12.6),
         }
-        more = sum(
-            tenant.quota * tenant.quota_usage * (self.swell.get(tenant.name, 1.0) - 1.0)
-            for tenant in self.plan.tenants()
-        )
-        total = sum(tenant.quota * tenant.quota_usage for tenant in self.plan.tenants())
-        return (
-            self.plan.request_rate
-            * shape[self.plan.clients.load_shape]
-            * self.load
-            * (1.0 + more / total)
+        shape = shape_factors[self.plan.clients.load_shape]
+        tenants = self.plan.tenants()
+        extra = sum(
+            tenant.quota * tenant.quota_usage * (self.demand_factors.get(tenant.name, 1.0) - 1.0)
+            for tenant in tenants
         )
+        total = sum(tenant.quota * tenant.quota_usage for tenant in tenants)
+        return self.plan.request_rate * shape * self.load * (1.0 + extra / total)
 
-    def arrive(self) -> None:
+    def on_arrival(self) -> None:
+        """An operation comes; the next one is set."""
         if self.loop.now >= self.end:
             return
-        self.loop.call_later(max(1, round(self.rng.expovariate(self.rate()) * 1e6)), self.arrive)
-        op = self.draw()
-        self.environment.referee.operations.append(op)
-        self.attempt(op)
-
-    def draw(self) -> Operation:
-        rng, plan = self.rng, self.plan
-        work = self.works[
-            bisect(self.work_ends, rng.random() * self.work_ends[-1], 0, len(self.works) - 1)
-        ]
-        if not self.named(work):  # the usual first one in its place
-            work = next(other for other in self.works if self.named(other))
+        delay_us = max(1, round(self.rng.expovariate(self.request_rate()) * 1e6))
+        self.loop.call_later(delay_us, self.on_arrival)
+        operation = self.draw_operation()
+        self.environment.referee.operations.append(operation)
+        self.start_attempt(operation)
+
+    def draw_operation(self) -> Operation:
+        """Draw what a client wants."""
+        rng = self.rng
+        last_class = len(self.request_classes) - 1
+        drawn = bisect(self._class_ends, rng.random() * self._class_ends[-1], 0, last_class)
+        request_class = self.request_classes[drawn]
+        if not self.is_named(request_class):  # the usual first one in its place
+            request_class = next(spec for spec in self.request_classes if self.is_named(spec))
+        tenants = self.plan.tenants()
         usage = [
-            tenant.quota * tenant.quota_usage * self.swell.get(tenant.name, 1.0)
-            for tenant in plan.tenants()
+            tenant.quota * tenant.quota_usage * self.demand_factors.get(tenant.name, 1.0)
+            for tenant in tenants
         ]
-        tenant = rng.choices(plan.tenants(), usage)[0].name
-        key = bisect(self.key_ends, rng.random() * self.key_ends[-1], 0, len(self.key_ends) - 1)
-        if self.hot[0] and rng.random() < self.hot[0]:
-            key = rng.choice(self.hot[1])
-        elif self.scan and not work.write and rng.random() < self.scan:
-            self.scanned += 1
-            key = plan.keys.count + self.scanned
-        cost = max(1, round(work.work_ms * 1000 * rng.gammavariate(4.0, SPREAD)))
-        return Operation(
-            len(self.environment.referee.operations), work, tenant, key, cost, self.loop.now
-        )
-
-    def named(self, work: RequestClassSpec) -> bool:
-        """Whether clients name this class now."""
+        tenant_name = rng.choices(tenants, usage)[0].name
+        key = self._draw_key(request_class)
+        gamma = rng.gammavariate(WORK_GAMMA_SHAPE, WORK_GAMMA_SCALE)
+        work_us = max(1, round(request_class.work_ms * 1000 * gamma))
+        number = len(self.environment.referee.operations)
+        return Operation(number, request_class, tenant_name, key, work_us, self.loop.now)
+
+    def _draw_key(self, request_class: RequestClassSpec) -> int:
+        rng = self.rng
+        key = bisect(self._key_ends, rng.random() * self._key_ends[-1], 0, len(self._key_ends) - 1)
+        if self.hot_keys.ratio and rng.random() < self.hot_keys.ratio:
+            return rng.choice(self.hot_keys.keys)
+        if self.scan_ratio and not request_class.write and rng.random() < self.scan_ratio:
+            self._scanned_count += 1
+            return self.plan.keys.count + self._scanned_count
+        return key
+
+    def is_named(self, request_class: RequestClassSpec) -> bool:
+        """Return whether clients name this class now."""
         second = (self.loop.now - self.environment.start) / 1e6
-        return work.from_s <= second and (not work.until_s or second < work.until_s)
+        has_begun = request_class.from_s <= second
+        return has_begun and (not request_class.until_s or second < request_class.until_s)
 
-    def open_links(self, post: str) -> list[CallerLink]:
-        """Connections to this balancer that have not ended."""
-        return [link for link in self.links[post] if link.conn.is_open]
+    def open_connections(self, balancer: str) -> list[BalancerConnection]:
+        """Return the connections to this balancer that have not ended."""
+        return [connection for connection in self.connections[balancer] if connection.conn.is_open]
 
-    def unknown(self, ask: ClientAttempt) -> None:
+    def on_unknown_class(self, attempt: ClientAttempt) -> None:
         """Its balancer does not know its class."""
-        why = f"{ask.id.decode()}: a class that the settings have is unknown"
+        why = f"{attempt.id.decode()}: a class that the settings have is unknown"
         self.environment.referee.record_breach("lost", self.loop.now, why)
 
-    # --- the tries
-
-    def choose(self, but: str = "", key: int = 0) -> str | None:
-        """The front layer: a balancer by its weight, that was not seen dead for the notice time."""
-        notice, now = seconds_to_us(self.plan.clients.failover_delay_s), self.loop.now
-        open_ = [
-            post
-            for post in self.environment.balancers
-            if post != but
-            and self.environment.accepts_clients(post, notice, now)
-            and (not self.environment.front.closed(post) or self.idle[post])
+    # --- the attempts
+
+    def choose_balancer(self, excluded: str = "", key: int = 0) -> str | None:
+        """Choose as the front does: by weight, of those not seen dead for its notice time."""
+        settings = self.plan.clients
+        notice_us = seconds_to_us(settings.failover_delay_s)
+        candidates = [
+            name
+            for name in self.environment.balancers
+            if name != excluded
+            and self.environment.accepts_clients(name, notice_us, self.loop.now)
+            and (not self.environment.front.closed(name) or self.idle[name])
         ]
-        if (
-            self.plan.clients.own_zone_ratio
-            and self.rng.random() < self.plan.clients.own_zone_ratio
-        ):
-            home = key % self.plan.cache.zones
-            open_ = [post for post in open_ if self.environment.zone_of(post) == home] or open_
-        if not open_:
+        if settings.own_zone_ratio and self.rng.random() < settings.own_zone_ratio:
+            zone = key % self.plan.cache.zones
+            in_zone = [name for name in candidates if self.environment.zone_of(name) == zone]
+            candidates = in_zone or candidates
+        if not candidates:
             return None
-        weights = [self.weights[post] for post in open_]
-        for i, post in enumerate(open_):
-            if post in self.lop and len(open_) > 1:
-                others = sum(weights) - weights[i]
-                weights[i] = others * self.lop[post] / max(0.01, 1 - self.lop[post])
-        return self.rng.choices(open_, weights)[0]
-
-    def attempt(self, op: Operation, but: str = "") -> None:
-        post = self.choose(but, op.key)
-        if post is None:
+        return self.rng.choices(candidates, self._weights_of(candidates))[0]
+
+    def _weights_of(self, names: list[str]) -> list[float]:
+        weights = [self.weights[name] for name in names]
+        for index, name in enumerate(names):
+            if name in self.traffic_ratios and len(names) > 1:
+                others = sum(weights) - weights[index]
+                ratio = self.traffic_ratios[name]
+                weights[index] = others * ratio / max(LEAST_REST_RATIO, 1 - ratio)
+        return weights
+
+    def start_attempt(self, operation: Operation, excluded: str = "") -> None:
+        """Try the operation at a balancer, unless there is none."""
+        balancer = self.choose_balancer(excluded, operation.key)
+        if balancer is None:
             return
-        op.attempt_count += 1
-        self.asked += 1
-        id = b"q%x" % self.asked
-        ask = ClientAttempt(id, op, post, self.environment.incarnation_of(post), 0, 0)
-        self.loop.call_later(
-            self.environment.client_one_way_us(), self.send, ask, self.message(ask, op), post
-        )
-
-    def message(self, ask: ClientAttempt, op: Operation) -> tuple[bytes, ...]:
-        work, body = op.request_class, b""
+        operation.attempt_count += 1
+        self.attempt_count += 1
+        request_id = b"q%x" % self.attempt_count
+        incarnation = self.environment.incarnation_of(balancer)
+        attempt = ClientAttempt(request_id, operation, balancer, incarnation, 0, 0)
+        delay_us = self.environment.client_one_way_us()
+        message = self.encode(attempt, operation)
+        self.loop.call_later(delay_us, self.send_attempt, attempt, message, balancer)
+
+    def encode(self, attempt: ClientAttempt, operation: Operation) -> tuple[bytes, ...]:
+        """Return the head of the request, and its body if it has one."""
+        request_class = operation.request_class
+        name = request_class.name.encode()
+        method = b"PUT" if request_class.write else b"GET"
         head = [
-            b"%b /%b/k%d HTTP/1.1" % (b"PUT" if work.write else b"GET", work.name.encode(), op.key),
+            b"%b /%b/k%d HTTP/1.1" % (method, name, operation.key),
             b"Host: service",
-            b"Request-Id: " + ask.id,
-            b"Request-Class: " + work.name.encode(),
-            b"Tenant: " + op.tenant.encode(),
-            b"Request-Timeout: %.3f" % (work.client_timeout_ms / 1e3),
+            b"Request-Id: " + attempt.id,
+            b"Request-Class: " + name,
+            b"Tenant: " + operation.tenant.encode(),
+            b"Request-Timeout: %.3f" % (request_class.client_timeout_ms / 1e3),
         ]
-        if op.attempt_count > 1:
+        if operation.attempt_count > 1:
             head.append(b"Client-Retry: 1")
-        if work.write:
-            body = b"op%d" % op.number
-            if (
-                self.plan.large_bodies.large_write_ratio
-                and self.rng.random() < self.plan.large_bodies.large_write_ratio
-            ):
-                body = body.ljust(self.plan.large_bodies.body_bytes, b"w")
-            ask.body = body
-            head.append(b"Content-Length: %d" % len(body))
-            if work.effect == "uniqued":
-                head.append(b"Idempotency-Key: op%d" % op.number)
-        return (
-            (b"\r\n".join(head) + b"\r\n\r\n", body)
-            if body
-            else (b"\r\n".join(head) + b"\r\n\r\n",)
-        )
-
-    def send(
-        self, ask: ClientAttempt, message: tuple[bytes, ...], post: str, fresh: bool = False
+        if not request_class.write:
+            return (b"\r\n".join(head) + b"\r\n\r\n",)
+        body = self._draw_body(operation)
+        attempt.body = body
+        head.append(b"Content-Length: %d" % len(body))
+        if request_class.effect == "uniqued":
+            head.append(b"Idempotency-Key: op%d" % operation.number)
+        return b"\r\n".join(head) + b"\r\n\r\n", body
+
+    def _draw_body(self, operation: Operation) -> bytes:
+        bodies = self.plan.large_bodies
+        body = b"op%d" % operation.number
+        if bodies.large_write_ratio and self.rng.random() < bodies.large_write_ratio:
+            return body.ljust(bodies.body_bytes, b"w")
+        return body
+
+    def send_attempt(
+        self, attempt: ClientAttempt, message: tuple[bytes, ...], balancer: str, fresh: bool = False
     ) -> None:
-        ask.incarnation = self.environment.incarnation_of(post)
-        idle = self.idle[post]
+        """Send a request on an idle connection or, with `fresh` always, on a new one."""
+        environment = self.environment
+        attempt.incarnation = environment.incarnation_of(balancer)
+        idle = self.idle[balancer]
         while idle and not fresh:
-            link = idle.pop()
-            if link.conn.is_open and link.life == ask.incarnation:
-                return link.carry(ask, message)
-            link.close()
-        if self.environment.front.closed(post) and not fresh:
-            return self.refused(ask, post)
-        came = self.environment.network.dial(self.environment.address_of(post))
-        if isinstance(came, AttemptFailure):
-            self.environment.referee.failed_connections += 1
-            return self.refused(ask, post)
-        CallerLink(self, post, came, not self.environment.network.virtual).carry(ask, message)
-        if (
-            self.plan.clients.impatient_ratio
-            and self.rng.random() < self.plan.clients.impatient_ratio
-        ):
-            self.loop.call_later(
-                self.rng.randrange(
-                    1, milliseconds_to_us(ask.operation.request_class.client_timeout_ms)
-                ),
-                self.hang_up,
-                ask,
-            )
-
-    def refused(self, ask: ClientAttempt, post: str) -> None:
-        """Nothing was taken: the front layer tries another at once, one time."""
-        if ask.operation.attempt_count <= self.plan.clients.max_retries + 1:
-            self.attempt(ask.operation, but=post)
-
-    def hang_up(self, ask: ClientAttempt) -> None:
-        if not ask.status:
-            ask.abandoned = True
-            ask.operation.counted = False
-
-    def overdue(self, link: CallerLink, ask: ClientAttempt) -> None:
-        if link.ask is ask and not ask.status and not link.reader.started:
-            if self.environment.is_alive(
-                link.post, link.life
-            ) and not self.environment.was_paused_since(link.post, ask.arrived_at_us):
-                self.environment.referee.on_no_answer(ask, self.loop.now)
-            link.ask = None
-            link.close()
-
-    def heard(self, ask: ClientAttempt, status: int, pause: int) -> None:
-        """What a client makes of its answer: another try, where that is harmless and it has not given up."""
-        op, callers = ask.operation, self.plan.clients
-        if op.completed_at_us or op.attempt_count > callers.max_retries or status == 200:
+            connection = idle.pop()
+            if connection.conn.is_open and connection.incarnation == attempt.incarnation:
+                connection.start(attempt, message)
+                return
+            connection.close()
+        if environment.front.closed(balancer) and not fresh:
+            self.on_refused(attempt, balancer)
+            return
+        sock = environment.network.dial(environment.address_of(balancer))
+        if isinstance(sock, AttemptFailure):
+            environment.referee.failed_connections += 1
+            self.on_refused(attempt, balancer)
+            return
+        is_opening = not environment.network.virtual
+        BalancerConnection(self, balancer, sock, is_opening).start(attempt, message)
+        self._draw_patience(attempt)
+
+    def _draw_patience(self, attempt: ClientAttempt) -> None:
+        """Some clients give up before their time."""
+        impatient_ratio = self.plan.clients.impatient_ratio
+        if impatient_ratio and self.rng.random() < impatient_ratio:
+            timeout_us = milliseconds_to_us(attempt.operation.request_class.client_timeout_ms)
+            self.loop.call_later(self.rng.randrange(1, timeout_us), self.hang_up, attempt)
+
+    def on_refused(self, attempt: ClientAttempt, balancer: str) -> None:
+        """Nothing was accepted: the front tries another balancer at once, one time."""
+        if attempt.operation.attempt_count <= self.plan.clients.max_retries + 1:
+            self.start_attempt(attempt.operation, excluded=balancer)
+
+    def hang_up(self, attempt: ClientAttempt) -> None:
+        """The client gives up before its time."""
+        if not attempt.status:
+            attempt.abandoned = True
+            attempt.operation.counted = False
+
+    def on_overdue(self, connection: BalancerConnection, attempt: ClientAttempt) -> None:
+        """An answer is waited for no longer."""
+        if connection.attempt is not attempt or attempt.status or connection.reader.started:
             return
-        if not status and op.request_class.effect != "replayable":
-            return  # its balancer died, and what became of it is not known
-        if status not in (0, 429, 503) and op.request_class.effect == "non-replayable":
+        environment = self.environment
+        balancer = connection.balancer
+        is_alive = environment.is_alive(balancer, connection.incarnation)
+        if is_alive and not environment.was_paused_since(balancer, attempt.arrived_at_us):
+            environment.referee.on_no_answer(attempt, self.loop.now)
+        connection.attempt = None
+        connection.close()
+
+    # --- what follows
+
+    def on_outcome(self, attempt: ClientAttempt, status: int, retry_after_us: int) -> None:
+        """Retry, where that is harmless and the client has not given up.
+
+        Args:
+            attempt: What ended.
+            status: Its answer's status code, 0 where its balancer died.
+            retry_after_us: How long the client was asked to wait.
+        """
+        if not self._may_retry(attempt.operation, status):
             return
-        wait = milliseconds_to_us(callers.backoff_ms) * self.rng.uniform(0.7, 1.3)
-        if pause and self.rng.random() < callers.retry_after_compliance:
-            wait = max(wait, pause * self.rng.uniform(1.0, 1.2))
-        if (
-            op.request_class.effect == "uniqued"
-            and self.loop.now + wait
-            > op.created_at_us + milliseconds_to_us(op.request_class.deduplication_window_ms)
-        ):
+        operation = attempt.operation
+        settings = self.plan.clients
+        wait_us = milliseconds_to_us(settings.backoff_ms) * self.rng.uniform(*BACKOFF_JITTER)
+        if retry_after_us and self.rng.random() < settings.retry_after_compliance:
+            wait_us = max(wait_us, retry_after_us * self.rng.uniform(*RETRY_AFTER_JITTER))
+        request_class = operation.request_class
+        window_us = milliseconds_to_us(request_class.deduplication_window_ms)
+        is_forgotten = self.loop.now + wait_us > operation.created_at_us + window_us
+        if request_class.effect == "uniqued" and is_forgotten:
             return  # a repeat would no longer be known as one
-        self.loop.call_later(round(wait), self.attempt, op)
-
-
-RUDE = (
-    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
-    b"GET /view/k1 HTTP/1.1\r\nno colon here\r\n\r\n",
-    b"GET /view/k1 HTTP/1.1\r\nX: " + b"x" * 40_000,
-    b"POST /view/k1 HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
-    b"GET /view/k1 HTTP/1.1\r\nRequest-Timeout: 1\r\n\r\n",
-    b"GET /view/k1 HTTP/1.1\r\nRequest-Id: b1\r\nRequest-Timeout: nan\r\n\r\n",
-    b"GET /view/k1 HTTP/1.1\r\nRequest-Id: b2\r\nRequest-Timeout: 1\r\nContent-Length: -3\r\n\r\n",
-    b"PUT /signup/k1 HTTP/1.1\r\nRequest-Id: b3\r\nRequest-Timeout: 1\r\nContent-Length: 60000000\r\n\r\n"
-    + b"x" * 9_000,
-    b"PUT /signup/k1 HTTP/1.1\r\nRequest-Id: b4\r\nRequest-Timeout: 1\r\nContent-Length: 4\r\n"
-    b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
-    b"GET /view/k2 HTTP/1.1\r\nRequest-Id: b5\r\nRequest-Timeout: 1\r\n\r\n",
-    b"GET /nosuch/k1 HTTP/1.1\r\nRequest-Id: b6\r\nRequest-Timeout: 1\r\n\r\n",
-    b"GET /view/k1 HTTP/1.1\r\nRequest-Id: b7\r\nRequest-Ti",
-    b"",
-)
-
-
-class RudeLink:
-    """A client that sends what cannot be served: owed an error or a close, in good time."""
-
-    def __init__(
-        self, callers: Callers, sock: socket.socket, text: bytes, leaves: bool, opening: bool
-    ) -> None:
-        self.clients, self.text = callers, text
-        self.reader = ResponseReader()
-        self.over = False
-        self.conn = Connection(callers.loop, sock, self, opening=opening)
-        callers.environment.referee.bad_requests += 1
-        for at in range(0, len(text), 4_096):
-            if self.conn.is_open:
-                self.conn.send(text[at : at + 4_096])
-        if leaves:
-            self.over = True
-            callers.loop.call_later(20_000, self.conn.close)
-        callers.loop.call_later(OWED, self.due)
-
-    def opened(self) -> None:
-        pass
-
-    def received(self, view: memoryview) -> None:
-        self.reader.feed(view)
-        if self.reader.message.complete:
-            if not self.over and self.reader.message.status < 400:
-                self.clients.environment.referee.bad_served += 1
-                what = f"a bad client was answered {self.reader.message.status}: {self.text[:40]!r}"
-                self.clients.environment.referee.record_breach("lost", self.clients.loop.now, what)
-            self.over = True
-
-    def due(self) -> None:
-        if not self.over and self.conn.is_open:
-            self.clients.environment.referee.bad_ignored += 1
-        self.conn.close()
-
-    def ended(self, what: str) -> None:
-        self.over = True
-
-
-def rude(callers: Callers, until: int, each: int) -> None:
-    """Bad clients, one every so many microseconds until then."""
-    if callers.loop.now >= until:
-        return
-    environment, rng = callers.environment, callers.rng
-    post = callers.choose()
-    if post:
-        came = environment.network.dial(environment.address_of(post))
-        if not isinstance(came, AttemptFailure):
-            RudeLink(
-                callers, came, rng.choice(RUDE), rng.random() < 0.2, not environment.network.virtual
-            )
-    callers.loop.call_later(max(1, round(rng.expovariate(1.0) * each)), rude, callers, until, each)
+        self.loop.call_later(round(wait_us), self.start_attempt, operation)
+
+    def _may_retry(self, operation: Operation, status: int) -> bool:
+        effect = operation.request_class.effect
+        is_over = operation.completed_at_us or status == STATUS_OK
+        if is_over or operation.attempt_count > self.plan.clients.max_retries:
+            return False
+        if not status and effect != "replayable":
+            return False  # its balancer died, and what became of it is not known
+        return status in HARMLESS_STATUSES or effect != "non-replayable"
--- a/orchidgap/simulation/operations.py
+++ b/orchidgap/simulation/operations.py
@@ -179,14 +179,14 @@
     referee = environment.referee
     if name not in environment.front.no_since:
         referee.record_breach("lost", now, f"{name}: was told to drain, and still says yes")
-    for link in environment.clients.open_links(name):
-        if link.ask is None:
+    for link in environment.clients.open_connections(name):
+        if link.attempt is None:
             referee.record_breach(
                 "lost", now, f"{name}: was told to drain, and holds an idle connection"
             )
-        elif now - link.ask.write_started_us < LATELY:
+        elif now - link.attempt.write_started_us < LATELY:
             referee.record_breach(
-                "lost", now, f"{name}: was told to drain, and holds {link.ask.id.decode()}"
+                "lost", now, f"{name}: was told to drain, and holds {link.attempt.id.decode()}"
             )
 
 
--- a/orchidgap/simulation/resp_cluster.py
+++ b/orchidgap/simulation/resp_cluster.py
@@ -18,8 +18,9 @@
 from orchidgap.resp.local_commands import slot_of_key as slot_at
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command, encode_error
+from orchidgap.simulation.balancer_connection import OVERDUE_US
 from orchidgap.simulation.baselines import even_range_owner
-from orchidgap.simulation.clients import LATE_BY, Callers
+from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.observations import ClientAttempt, Operation
 from orchidgap.simulation.plan import Fault, HostModel, milliseconds_to_us, seconds_to_us
 from orchidgap.simulation.servers import Job, Store
@@ -261,7 +262,7 @@
 class RespLink:
     """A client's connection: several commands under way, answered in order."""
 
-    def __init__(self, callers: RespCallers, post: str, sock: socket.socket, opening: bool) -> None:
+    def __init__(self, callers: RespClients, post: str, sock: socket.socket, opening: bool) -> None:
         self.clients, self.post = callers, post
         self.life = callers.environment.incarnation_of(post)
         self.reader = RespReader()
@@ -279,7 +280,7 @@
             )
             self.clients.environment.referee.on_client_attempt(ask)
             self.clients.loop.call_later(
-                ask.deadline_us - now + LATE_BY, self.clients.late, self, ask
+                ask.deadline_us - now + OVERDUE_US, self.clients.late, self, ask
             )
 
     def opened(self) -> None: ...
@@ -296,7 +297,7 @@
             pause = text.rpartition(b"come back in ")[2].partition(b" ms")[0]
             callers.loop.call_later(
                 callers.environment.client_one_way_us(),
-                callers.heard,
+                callers.on_outcome,
                 ask,
                 status,
                 int(pause) * 1000 if pause.isdigit() else 0,
@@ -313,24 +314,24 @@
                 callers.environment.referee.on_connection_lost(ask, callers.loop.now)
             else:
                 ask.abandoned = True
-            callers.heard(ask, 0, 0)
+            callers.on_outcome(ask, 0, 0)
         self.asks.clear()
 
 
-class RespCallers(Callers):
+class RespClients(Clients):
     """Clients that speak RESP: the same reqs, tries and tenants."""
 
     def __init__(self, environment: Environment) -> None:
         super().__init__(environment)
         self.lanes: dict[str, list[RespLink]] = {post: [] for post in environment.balancers}
 
-    def message(self, ask: ClientAttempt, op: Operation) -> tuple[bytes, ...]:
+    def encode(self, ask: ClientAttempt, op: Operation) -> tuple[bytes, ...]:
         number = int(ask.id[1:], 16)
         if op.request_class.write:
             return (encode_command(b"APPEND", b"k%d" % op.key, b"%d;" % number),)
         return (encode_command(b"GETRANGE", b"k%d" % op.key, 0, BASE + number),)
 
-    def send(
+    def send_attempt(
         self, ask: ClientAttempt, message: tuple[bytes, ...], post: str, fresh: bool = False
     ) -> None:
         ask.incarnation = self.environment.incarnation_of(post)
@@ -342,7 +343,7 @@
         if not room:
             came = self.environment.network.dial(self.environment.address_of(post))
             if isinstance(came, AttemptFailure):
-                return self.refused(ask, post)
+                return self.on_refused(ask, post)
             room = [RespLink(self, post, came, not self.environment.network.virtual)]
             self.lanes[post] += room
         room[0].carry(ask, message)
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -19,7 +19,7 @@
 from orchidgap.simulation.balancer_process import BalancerProcess, process_costs
 from orchidgap.simulation.baselines import policy_class
 from orchidgap.simulation.cache_contents import client_key_of, fill_caches, value_size_bytes
-from orchidgap.simulation.clients import Callers
+from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.discovery_server import DiscoveryAgent, DiscoveryServer
 from orchidgap.simulation.environment import AttemptLimit, Decider
 from orchidgap.simulation.invariant_checker import InvariantChecker, simulated_duration_us
@@ -27,7 +27,7 @@
 from orchidgap.simulation.loopback_network import LoopbackNetwork
 from orchidgap.simulation.operations import BINDS_AFTER, Front
 from orchidgap.simulation.plan import Plan, RequestClassSpec, milliseconds_to_us, seconds_to_us
-from orchidgap.simulation.resp_cluster import Cluster, RespCallers, SlotStore
+from orchidgap.simulation.resp_cluster import Cluster, RespClients, SlotStore
 from orchidgap.simulation.servers import Store
 from orchidgap.simulation.verdict import verdict_line
 from orchidgap.simulation.virtual_network import VirtualNetwork
@@ -110,9 +110,9 @@
             return BalancerProcess(self, name, number, zone, self.policy, self.folder.name)
         return VirtualBalancer(self, name, number, zone, decider)
 
-    def make_clients(self) -> Callers:
+    def make_clients(self) -> Clients:
         """Make the clients, of the protocol that the plan names."""
-        return RespCallers(self) if self.plan.protocol == "resp" else Callers(self)
+        return RespClients(self) if self.plan.protocol == "resp" else Clients(self)
 
     def add_hosts(self) -> None:
         """Make caches, origins and discovery, and fill the caches as far as the plan says."""
@@ -314,7 +314,7 @@
         """Set timers for the load, the faults and the stretches of the plan."""
         from orchidgap.simulation.faults import start_fault
 
-        self.loop.call_at(self.start, self.clients.arrive)
+        self.loop.call_at(self.start, self.clients.on_arrival)
         self.loop.call_at(self.start, self.front.start)
         self.loop.call_at(self.start, self.sample)
         for fault in self.plan.faults:
--- a/orchidgap/simulation/traffic_faults.py
+++ b/orchidgap/simulation/traffic_faults.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from orchidgap.simulation.clients import rude
+from orchidgap.simulation.bad_clients import send_bad_requests
+from orchidgap.simulation.clients import HotKeys
 from orchidgap.simulation.fault_targets import call_at_end, pick_balancers, set_attribute_until_end
 from orchidgap.simulation.plan import Fault, seconds_to_us
 
@@ -17,7 +18,7 @@
 def scan(environment: Environment, fault: Fault) -> None:
     """A part `magnitude` of the reads (0.1) walks over keys that nobody else asks for."""
     set_attribute_until_end(
-        environment, fault, [environment.clients], "scan", fault.magnitude or 0.1, 0.0
+        environment, fault, [environment.clients], "scan_ratio", fault.magnitude or 0.1, 0.0
     )
 
 
@@ -27,27 +28,30 @@
         range(environment.plan.keys.count // 4, environment.plan.keys.count),
         environment.rng.randrange(1, 4),
     )
-    hot = (fault.magnitude or 0.2, [int(fault.target)] if fault.target.isdigit() else keys)
-    set_attribute_until_end(environment, fault, [environment.clients], "hot", hot, (0.0, []))
+    hot_keys = [int(fault.target)] if fault.target.isdigit() else keys
+    hot = HotKeys(fault.magnitude or 0.2, hot_keys)
+    nothing_hot = HotKeys(0.0, [])
+    clients = [environment.clients]
+    set_attribute_until_end(environment, fault, clients, "hot_keys", hot, nothing_hot)
 
 
 def hot_tenant(environment: Environment, fault: Fault) -> None:
     """One tenant asks for `magnitude` times its load (4)."""
     name = fault.target or environment.plan.tenants()[0].name
-    environment.clients.swell[name] = fault.magnitude or 4.0
-    call_at_end(environment, fault, _remove, environment.clients.swell, name)
+    environment.clients.demand_factors[name] = fault.magnitude or 4.0
+    call_at_end(environment, fault, _remove, environment.clients.demand_factors, name)
 
 
 def lopsided(environment: Environment, fault: Fault) -> None:
     """One balancer suddenly carries a part `magnitude` of all traffic (0.7)."""
     name = pick_balancers(environment, fault)[0]
-    environment.clients.lop[name] = min(MAX_BALANCER_RATIO, fault.magnitude or 0.7)
-    call_at_end(environment, fault, _remove, environment.clients.lop, name)
+    environment.clients.traffic_ratios[name] = min(MAX_BALANCER_RATIO, fault.magnitude or 0.7)
+    call_at_end(environment, fault, _remove, environment.clients.traffic_ratios, name)
 
 
 def bad_clients(environment: Environment, fault: Fault) -> None:
     """Clients send `magnitude` requests a second (20) that cannot be served."""
-    rude(
+    send_bad_requests(
         environment.clients,
         environment.loop.now + seconds_to_us(fault.duration_s),
         round(1e6 / (fault.magnitude or 20.0)),
--- a/tests/simulation/test_kernel_times.py
+++ b/tests/simulation/test_kernel_times.py
@@ -9,7 +9,7 @@
 
 from orchidgap.net.dialing import dial
 from orchidgap.net.loop import Loop
-from orchidgap.simulation.clients import CallerLink
+from orchidgap.simulation.balancer_connection import BalancerConnection
 from orchidgap.simulation.invariant_checker import InvariantChecker
 from orchidgap.simulation.observations import ClientAttempt, Operation
 from orchidgap.simulation.plan import Plan, RequestClassSpec
@@ -36,10 +36,10 @@
         plan=plan,
         rng=random.Random(0),
         environment=environment,
-        links={"b0": {}},
+        connections={"b0": {}},
         idle={"b0": []},
-        overdue=lambda link, ask: None,
-        heard=lambda ask, status, pause: None,
+        on_overdue=lambda link, ask: None,
+        on_outcome=lambda ask, status, pause: None,
     )
     request_class = RequestClassSpec(
         share=1.0, work_ms=10.0, name="read", latency_objective_ms=1.0, client_timeout_ms=2000.0
@@ -47,8 +47,8 @@
     operation = Operation(0, request_class, "", 0, 1, loop.now)
     ask = ClientAttempt(b"q1", operation, "b0", 1, 0, 0)
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        link = CallerLink(clients, "b0", dial(listener.getsockname()), True)
-        link.carry(ask, (b"GET /read/k1 HTTP/1.1\r\nHost: service\r\n\r\n",))
+        link = BalancerConnection(clients, "b0", dial(listener.getsockname()), True)
+        link.start(ask, (b"GET /read/k1 HTTP/1.1\r\nHost: service\r\n\r\n",))
         balancer, _ = listener.accept()
         while not ask.arrived_at_us:
             loop.run_once(10_000)
--- a/tests/simulation/test_operations.py
+++ b/tests/simulation/test_operations.py
@@ -16,10 +16,8 @@
     plan = Plan(name="drain")
     operation = Operation(0, plan.request_classes()[0], "", 0, 1, 0)
     attempt = ClientAttempt(b"q1", operation, "b0", 1, 0, 0, write_started_us=NOW_US - 1_000_000)
-    connection = SimpleNamespace(ask=attempt, attempt=attempt)
-    clients = SimpleNamespace(
-        open_links=lambda name: [connection], open_connections=lambda name: [connection]
-    )
+    connection = SimpleNamespace(attempt=attempt)
+    clients = SimpleNamespace(open_connections=lambda name: [connection])
     environment = SimpleNamespace(
         referee=referee, front=SimpleNamespace(no_since={"b0": 0}), clients=clients
     )
--- a/tests/simulation/test_virtual_network.py
+++ b/tests/simulation/test_virtual_network.py
@@ -9,9 +9,9 @@
 from orchidgap.net.attempt_failure import AttemptFailure
 from orchidgap.net.connection import Connection
 from orchidgap.net.loop import READ
+from orchidgap.simulation.balancer_connection import BalancerConnection
 from orchidgap.simulation.balancer_loop import BalancerLoop
 from orchidgap.simulation.baselines import POLICY_NAMES
-from orchidgap.simulation.clients import CallerLink
 from orchidgap.simulation.invariant_checker import RULES, InvariantChecker
 from orchidgap.simulation.listening_queue import ListeningQueue
 from orchidgap.simulation.observations import ClientAttempt, HostAttempt, Operation
@@ -278,7 +278,7 @@
         simulation.balancers[post].alive, simulation.balancers[post].incarnation = True, 1
         for unread, breaks in ((True, []), (False, ["lost"])):
             near, far = connected_pair()
-            link = CallerLink(simulation.clients, post, near, False)
+            link = BalancerConnection(simulation.clients, post, near, False)
             ask = ClientAttempt(
                 b"q7",
                 Operation(0, simulation.plan.request_classes()[0], "north", 1, 1, 0),
@@ -287,8 +287,8 @@
                 0,
                 0,
             )
-            link.used = 1
-            link.carry(ask, (b"GET /view/k1 HTTP/1.1\r\n\r\n",))
+            link.request_count = 1
+            link.start(ask, (b"GET /view/k1 HTTP/1.1\r\n\r\n",))
             if not unread:
                 far.recv(100)
             far.close()
