Durable writes: the end of a writer's process is heard of by its descriptor

A pidfd in the loop tells the end without a timer. The test of a writer that is long about its end is unchanged.

--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -120,12 +120,12 @@
 
     def watch(
         self,
-        sock: socket.socket,
+        sock: socket.socket | int,
         mask: int,
         callback: Callable[[int], None],
         first: bool = False,
     ) -> None:
-        """Call back when the socket is ready; with `first`, before others that are."""
+        """Call back when the socket, or a descriptor, is ready; with `first`, before others."""
         self.selector.register(sock, mask, callback)
         if first:
             self.priority_callbacks.add(callback)
@@ -134,7 +134,7 @@
         """Watch the socket for something else."""
         self.selector.modify(sock, mask, callback)
 
-    def unwatch(self, sock: socket.socket) -> None:
+    def unwatch(self, sock: socket.socket | int) -> None:
         """Watch the socket no more."""
         key = self.selector.unregister(sock)
         self.priority_callbacks.discard(key.data)
--- a/orchidgap/state/background_writer.py
+++ b/orchidgap/state/background_writer.py
@@ -21,7 +21,6 @@
 WRITER_ENDED = "whoever wrote it has ended"
 WRITTEN = b"done"  # what the child says
 MAX_REPORT_BYTES = 256
-REAP_INTERVAL_US = 10_000
 
 
 class BackgroundWriter:
@@ -109,19 +108,23 @@
         report = parent_end.recv(MAX_REPORT_BYTES)
         self.loop.unwatch(parent_end)
         parent_end.close()
-        self.loop.call_soon(self._reap, child)
+        self._await_end(child)
         if report == WRITTEN:
             on_written("")
         else:
             on_written(report.decode() or WRITER_ENDED)
 
-    def _reap(self, child: int) -> None:
+    def _await_end(self, child: int) -> None:
         """Go on once a child has ended. Nothing waits for it: on a busy machine that takes long."""
-        ended_child, _ = os.waitpid(child, os.WNOHANG)
-        if ended_child:
+        process_fd = os.pidfd_open(child)
+
+        def on_end(mask: int) -> None:
+            self.loop.unwatch(process_fd)
+            os.close(process_fd)
+            os.waitpid(child, 0)  # it has ended
             self._begin_next()
-        else:
-            self.loop.call_later(REAP_INTERVAL_US, self._reap, child)
+
+        self.loop.watch(process_fd, READ, on_end)
 
 
 def _reset_signals() -> None:
