Operators' lines: an unknown command is told the operators' own words, as before

The new command counts had joined the list in that answer, which is recorded byte for byte (tests/compatibility/test_compatible_admin.py, red since). The record stands; the answer is the old one.

--- a/orchidgap/admin/protocol.py
+++ b/orchidgap/admin/protocol.py
@@ -14,6 +14,7 @@
 RESUME = "resume"
 SHADOW_REPORT = "watch"
 COUNT_REPORT = "counts"
+OPERATORS_WORDS = (HEALTH, DRAIN, RESUME, SHADOW_REPORT)  # that an unknown command is told
 
 SUCCEEDED = "SUCCESS"
 FAILED = "FAILURE"
--- a/orchidgap/admin/server.py
+++ b/orchidgap/admin/server.py
@@ -13,6 +13,7 @@
 from orchidgap.admin.protocol import (
     LINE_END,
     MAX_COMMAND_BYTES,
+    OPERATORS_WORDS,
     CommandResult,
     decode_command,
     encode_result,
@@ -115,7 +116,7 @@
         word = decode_command(line)
         command = self._commands.get(word)
         if command is None:
-            return unknown_command(word, self._commands)
+            return unknown_command(word, OPERATORS_WORDS)
         return CommandResult(*command())
 
     def _accept_all(self, mask: int = READ) -> None:
