--- a/orchidgap/fault_tests/commands.py
+++ b/orchidgap/fault_tests/commands.py
@@ -118,7 +118,6 @@
                 out = Path(tempfile.mkdtemp(prefix=f"orchidgap-drill-{test.plan.name}-"))
         if out is not None:
             verdict |= {"folder": str(out)}
-        if out is not None:
             shutil.copytree(copied, out, dirs_exist_ok=True, symlinks=True)
             _write_report(out, verdict, cluster)
     return verdict, cluster
--- a/orchidgap/fault_tests/soak_faults.py
+++ b/orchidgap/fault_tests/soak_faults.py
@@ -13,6 +13,7 @@
 
 from orchidgap.fault_tests.cluster import Cluster
 from orchidgap.net.attempt_failure import AttemptFailure
+from orchidgap.simulation.balancer_faults import restart_balancer
 from orchidgap.simulation.faults import start_fault
 from orchidgap.simulation.observations import ClientAttempt
 from orchidgap.simulation.plan import Fault, milliseconds_to_us
@@ -133,13 +134,8 @@
 
     def restart_later(self, name: str) -> None:
         """Start the balancer again, unless that was done meanwhile."""
-        self.loop.call_later(self.rng.randrange(MAX_RESTART_DELAY_US), self.start, name)
-
-    def start(self, name: str) -> None:
-        """Start the balancer with the list that it last had, unless it runs."""
-        post = self.cluster.balancers[name]
-        if not post.alive:
-            post.start(self.cluster.latest_endpoint_list(name))
+        delay_us = self.rng.randrange(MAX_RESTART_DELAY_US)
+        self.loop.call_later(delay_us, restart_balancer, self.cluster, name)
 
     # --- ends that are not asked for, and starts
 
@@ -160,7 +156,7 @@
         """Kill it, start it at once, and have it read its configuration again as it starts."""
         self.note(f"kill {name}, SIGHUP as it starts")
         self.cluster.balancers[name].kill()
-        self.start(name)
+        restart_balancer(self.cluster, name)
         self.send_signal_later(name, signal.SIGHUP, self.rng.randrange(*RELOAD_AFTER_START_US))
 
     def terminate_before_first_list(self, name: str) -> None:
@@ -168,7 +164,7 @@
         self.note(f"kill {name}, SIGTERM before its first list")
         self.set_off("discovery-gone", 1.0, name)
         self.cluster.balancers[name].kill()
-        self.start(name)
+        restart_balancer(self.cluster, name)
 
         def retire() -> None:
             post = self.cluster.balancers[name]
--- a/orchidgap/net/traffic_counts.py
+++ b/orchidgap/net/traffic_counts.py
@@ -105,24 +105,26 @@
 
     def connection_facts(self) -> dict[str, int]:
         """The counts of connections that are not 0, for a log line."""
-        facts = {
-            "accepted": self.connections_accepted,
-            "adopted": self.connections_adopted,
-            **{end.value: count for end, count in self.connection_ends.items()},
-            "unread": self.closed_with_unread_bytes,
-            "open": self.connections_open,
-        }
-        return {name: count for name, count in facts.items() if count}
+        return _above_zero(
+            {
+                "accepted": self.connections_accepted,
+                "adopted": self.connections_adopted,
+                **{end.value: count for end, count in self.connection_ends.items()},
+                "unread": self.closed_with_unread_bytes,
+                "open": self.connections_open,
+            }
+        )
 
     def request_facts(self) -> dict[str, int]:
         """The counts of requests that are not 0, for a log line."""
-        facts = {
-            "arrived": self.requests_arrived,
-            "adopted": self.requests_adopted,
-            **{end.value: count for end, count in self.request_ends.items()},
-            "open": self.requests_open,
-        }
-        return {name: count for name, count in facts.items() if count}
+        return _above_zero(
+            {
+                "arrived": self.requests_arrived,
+                "adopted": self.requests_adopted,
+                **{end.value: count for end, count in self.request_ends.items()},
+                "open": self.requests_open,
+            }
+        )
 
     def facts(self) -> dict[str, dict[str, int]]:
         """All counts, for a log line."""
@@ -132,3 +134,7 @@
             "requests": self.request_facts(),
             "rejected": rejected,
         }
+
+
+def _above_zero(facts: dict[str, int]) -> dict[str, int]:
+    return {name: count for name, count in facts.items() if count}
