Soak: a seed has one order of faults

Faults were drawn from the cluster's generator, from which clients draw at moments that no run repeats, so that a run may have had no release of hosts at all.

--- a/orchidgap/fault_tests/soak_faults.py
+++ b/orchidgap/fault_tests/soak_faults.py
@@ -10,6 +10,7 @@
 import socket
 from collections.abc import Callable
 from contextlib import suppress
+from random import Random
 
 from orchidgap.fault_tests.cluster import Cluster
 from orchidgap.net.attempt_failure import AttemptFailure
@@ -34,12 +35,14 @@
 
 
 class SoakFaults:
-    """Draws faults for a cluster, by its seed."""
+    """Draws faults for a cluster: a seed has one order of them, the balancers are drawn anew."""
 
     def __init__(self, cluster: Cluster) -> None:
         """Act on this cluster."""
         self.cluster = cluster
         self.rng = cluster.rng
+        # of its own: what else draws from the cluster's does so at times that no run repeats
+        self.kind_rng = Random(cluster.seed)
         self.loop = cluster.loop
         self.crowd: list[socket.socket] = []
         self.kinds: list[Callable[[str], None]] = [
@@ -57,14 +60,15 @@
             self.kinds += [self.send_crowd, self.send_crowd]
 
     def draw(self) -> None:
-        """Do one fault to a balancer that serves, if there is one."""
+        """Do the next fault of this seed to a balancer that serves, if there is one."""
+        fault = self.kind_rng.choice(self.kinds)
         serving = [
             name
             for name, post in self.cluster.balancers.items()
             if post.alive and post.ready_at and not post.is_shutting_down
         ]
         if len(serving) > 1:  # clients have somewhere to go
-            self.rng.choice(self.kinds)(self.rng.choice(serving))
+            fault(self.rng.choice(serving))
 
     def note(self, text: str) -> None:
         """Record what is done."""
