Checker: a request that was taken is owed its answer on every connection

Cause: BalancerConnection._judge_end counted the first request of a connection as `aborted`, and any end within 50 ms of a request as a crossing.

Change: `request_end.judge_end` decides from facts that the kernel shows the client: a reset, or the other side's end in the moment of the write; the 50 ms are gone. `ProcessEnd` tells a kill from an end by itself; a crash that nobody asked for is a breach. A stopped balancer owes its answers from its resumption; it was excused for good. On the virtual clock a listener that was closed refuses connections, as the system does.

The planted defect HangsUp raised TypeError in the place of closing; it closes.

--- a/orchidgap/fault_tests/actions.py
+++ b/orchidgap/fault_tests/actions.py
@@ -168,13 +168,13 @@
 
     def kill(self, name: str) -> None:
         """Kill a process and wait for its end."""
+        if name in self.cluster.balancers:
+            self.cluster.balancers[name].kill()
+            return
         process = self.cluster.process_of(name)
         process.kill()
         process.wait()
-        if name in self.cluster.balancers:
-            self.cluster.balancers[name].mark_ended()
-        else:
-            self.cluster.control(name).alive = False
+        self.cluster.control(name).alive = False
 
     def terminate(self, name: str) -> None:
         """Send SIGTERM; a control process's end is waited for."""
--- a/orchidgap/fault_tests/balancer_process.py
+++ b/orchidgap/fault_tests/balancer_process.py
@@ -9,6 +9,7 @@
 from orchidgap.fault_tests.child_processes import ProcessLauncher
 from orchidgap.simulation.balancer_process import BalancerProcess
 from orchidgap.simulation.environment import Environment
+from orchidgap.simulation.request_end import ProcessEnd
 
 PROBE_TIMEOUT_US = 200_000
 PROBE_INTERVAL_US = 50_000
@@ -60,7 +61,7 @@
 
         client.probe(PROBE_PATH, on_answer)
 
-    def mark_ended(self) -> None:
+    def mark_ended(self, end: ProcessEnd) -> None:
         """Take note that the program has ended."""
-        super().mark_ended()
+        super().mark_ended(end)
         self.ready_at = 0
--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import time
+from collections import deque
 from collections.abc import Callable
 from functools import cached_property
 from pathlib import Path
@@ -34,6 +35,7 @@
 from orchidgap.simulation.loopback_network import LoopbackNetwork
 from orchidgap.simulation.observations import ClientAttempt
 from orchidgap.simulation.plan import RequestClassSpec, milliseconds_to_us
+from orchidgap.simulation.request_end import ProcessEnd
 from orchidgap.simulation.simulation import Balancer, Simulation
 
 LOOK_INTERVAL_US = 50_000
@@ -87,6 +89,8 @@
         self.configured_version = 0
         self.last_proposal = 0
         super().__init__(test.plan, seed, real=True, policy=policy, disk=disk or memory_folder())
+        # reports that wait for the end of a process to be seen, the oldest first
+        self.unreported: deque[Callable[[], None]] = deque()
         self.report_unanswered = self.referee.on_connection_lost
         setattr(self.referee, "on_connection_lost", self._on_unanswered)  # noqa: B010
         self.links = Links(self.loop, self.rng, self.port_offset, self._topology())
@@ -219,10 +223,23 @@
 
         def report_unless_dead() -> None:
             self.look()
-            if not ask.abandoned and self.is_alive(ask.balancer, ask.incarnation):
+            post = self.balancers[ask.balancer]
+            was_killed = post.process_end(ask.incarnation) is ProcessEnd.KILLED
+            if not ask.abandoned and not was_killed:
                 self.report_unanswered(ask, at_us)
 
-        self.loop.call_later(SLACK_US, report_unless_dead)
+        self.unreported.append(report_unless_dead)
+        self.loop.call_later(SLACK_US, self._report_oldest)
+
+    def _report_oldest(self) -> None:
+        if self.unreported:
+            self.unreported.popleft()()
+
+    def build_verdict(self) -> dict[str, Any]:
+        """Return the checker's verdict, with what was about to be reported in it."""
+        while self.unreported:
+            self._report_oldest()
+        return super().build_verdict()
 
     def _on_late_turn(self, turn: LateTurn) -> None:
         """Note that this process stood still: hosts, clients and relays did, and no balancer."""
@@ -291,10 +308,10 @@
     def _repair_balancer(self, name: str) -> None:
         disk_faults.free(disk_faults.disk_folder(self.directory, name))
         post = self.balancers[name]
+        assert isinstance(post, ClusterBalancer)
         if post.alive and post.pauses and post.pauses[-1].end_us > self.loop.now + LONG_PAUSE_US:
             self.resume(name)
-        if post.alive and self.process_of(name).poll() is not None:
-            post.mark_ended()
+        post.mark_if_ended()
         if not post.alive:
             post.start(self.latest_endpoint_list(name))
 
@@ -317,12 +334,8 @@
         """Take note of processes and callers of control that have ended."""
         self.proposers.collect(self.loop.now)
         for post in self.balancers.values():
-            if (
-                post.alive
-                and not post.is_shutting_down
-                and self.process_of(post.name).poll() is not None
-            ):
-                post.mark_ended()
+            if isinstance(post, ClusterBalancer) and not post.is_shutting_down:
+                post.mark_if_ended()
         for control in self.controls:
             control.alive = control.alive and not control.has_ended()
         if self.controls:
--- a/orchidgap/fault_tests/planted_defects.py
+++ b/orchidgap/fault_tests/planted_defects.py
@@ -1,6 +1,6 @@
 """Defects planted on purpose: each a program that looks right until a fault shows its defect."""
 
-# mypy: disable-error-code="method-assign, attr-defined"
+# mypy: disable-error-code="method-assign, attr-defined, assignment"
 
 from __future__ import annotations
 
@@ -24,9 +24,11 @@
 from orchidgap.net.decisions_port import DecisionsPort
 from orchidgap.net.endpoints import STATES
 from orchidgap.net.node_lifecycle import NodeLifecycle
+from orchidgap.net.traffic_counts import ConnectionEnd
 
 LONGEST_COUNTED_STOP_US = 50_000
 DENIAL_DELAY_US = 600_000
+READ_BEFORE_CLOSE_US = 1_000
 
 
 def keeps_old_version() -> None:
@@ -182,6 +184,62 @@
     NodeLifecycle.begin_shutdown = begin_and_close
 
 
+def closes_first_request() -> None:
+    """It closes each connection on the first request that it has read there."""
+    hand_over = Http1ClientConnection.hand_over
+
+    def close(self: Http1ClientConnection, *request: Any) -> None:
+        if self.conn.bytes_written:
+            hand_over(self, *request)
+        else:
+            self.conn.fail("closed")
+
+    Http1ClientConnection.hand_over = close
+
+
+def closes_later_request() -> None:
+    """It closes a connection 1 ms after it has read a request that is not the first on it."""
+    hand_over = Http1ClientConnection.hand_over
+
+    def close_soon(self: Http1ClientConnection, *request: Any) -> None:
+        if self.conn.bytes_written:
+            self.listener.loop.call_later(READ_BEFORE_CLOSE_US, self.conn.fail, "closed")
+        else:
+            hand_over(self, *request)
+
+    Http1ClientConnection.hand_over = close_soon
+
+
+def resets_half_answers() -> None:
+    """It begins answers that it has whole, and resets the connection."""
+
+    answer = Http1ClientConnection.answer
+
+    def reset(self: Http1ClientConnection, status: int, *more: Any, **named: Any) -> None:
+        if status != 200 or not more:
+            answer(self, status, *more, **named)
+            return
+        self.conn.send(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it")
+        self.conn.reset()
+        self.close(ConnectionEnd.BROKEN)
+
+    Http1ClientConnection.answer = reset
+
+
+def ends_at_once() -> None:
+    """Told to end, it ends at once, whatever it has read."""
+    NodeLifecycle.begin_shutdown = NodeLifecycle.stop
+
+
+def never_ends() -> None:
+    """Told to end it does not, and answers nothing from then on."""
+
+    def begin_shutdown(self: NodeLifecycle) -> None:
+        Http1ClientConnection.hand_over = lambda *request: None
+
+    NodeLifecycle.begin_shutdown = begin_shutdown
+
+
 def denies_late() -> None:
     """It answers what it denies 0.6 s later than it could."""
     deny = DecisionsPort.deny
@@ -210,6 +268,11 @@
     "blind": sees_no_hot_key,
     "echoes": counts_reports_again,
     "hangs-up": closes_with_requests_read,
+    "slams": closes_first_request,
+    "snaps": closes_later_request,
+    "clips": resets_half_answers,
+    "quits": ends_at_once,
+    "outstays": never_ends,
     "dawdles": denies_late,
     "stubborn": takes_draining_for_ready,
 }
--- a/orchidgap/fault_tests/soak_faults.py
+++ b/orchidgap/fault_tests/soak_faults.py
@@ -15,12 +15,12 @@
 from orchidgap.fault_tests.cluster import Cluster
 from orchidgap.net.attempt_failure import AttemptFailure
 from orchidgap.simulation.balancer_faults import restart_balancer
+from orchidgap.simulation.balancer_instance import KILL_MARGIN_US
 from orchidgap.simulation.faults import start_fault
 from orchidgap.simulation.observations import ClientAttempt
-from orchidgap.simulation.plan import Fault, milliseconds_to_us
+from orchidgap.simulation.plan import Fault
+from orchidgap.simulation.request_end import ProcessEnd
 
-# how long after SIGTERM a process that still runs may be killed, beyond the longest client timeout
-KILL_MARGIN_US = 700_000
 EXIT_POLL_US = 10_000
 # after the end of a process, for what it had written to be read
 LAST_ANSWERS_US = 400_000
@@ -90,29 +90,27 @@
     def retire(self, name: str) -> None:
         """SIGTERM, perhaps followed by more signals; SIGKILL at the earliest time."""
         post = self.cluster.balancers[name]
-        post.is_shutting_down = True
+        post.begin_shutdown()
         self.send_signal_later(name, signal.SIGTERM, 0)
         for number in (signal.SIGTERM, signal.SIGHUP):
             if self.rng.random() < 0.5:
                 self.send_signal_later(name, number, self.rng.randrange(*SECOND_SIGNAL_US))
-        self.await_end(name, self.loop.now + self.longest_client_timeout_us() + KILL_MARGIN_US)
+        self.await_end(name)
 
-    def longest_client_timeout_us(self) -> int:
-        """Return the longest time that a client waits."""
-        specs = self.cluster.plan.request_classes()
-        return milliseconds_to_us(max(spec.client_timeout_ms for spec in specs))
-
-    def await_end(self, name: str, kill_at_us: int) -> None:
+    def await_end(self, name: str) -> None:
         """See the process end, kill it when it may be, and start another one."""
+        post = self.cluster.balancers[name]
         process = self.cluster.process_of(name)
         if process.poll() is not None:
+            post.ends[post.incarnation] = ProcessEnd.EXITED
             self.loop.call_later(LAST_ANSWERS_US, self.on_ended, name)
-        elif self.loop.now >= kill_at_us:
+        elif self.loop.now >= post.kill_time_us():
             self.note(f"SIGKILL {name}, {KILL_MARGIN_US // 1000} ms after the longest timeout")
+            post.ends[post.incarnation] = post.end_by_kill()
             process.kill()
             self.loop.call_later(LAST_ANSWERS_US, self.on_ended, name)
         else:
-            self.loop.call_later(EXIT_POLL_US, self.await_end, name, kill_at_us)
+            self.loop.call_later(EXIT_POLL_US, self.await_end, name)
 
     def on_ended(self, name: str) -> None:
         """Judge what it left unanswered, and start it anew."""
@@ -121,7 +119,7 @@
             return
         for attempt in self.unanswered(name):
             self.cluster.report_unanswered(attempt, self.loop.now)
-        post.mark_ended()
+        post.mark_ended(post.process_end(post.incarnation))
         self.restart_later(name)
 
     def unanswered(self, name: str) -> list[ClientAttempt]:
--- a/orchidgap/simulation/balancer_connection.py
+++ b/orchidgap/simulation/balancer_connection.py
@@ -11,17 +11,15 @@
 from orchidgap.net.connection import Connection
 from orchidgap.simulation.observations import LARGE_BODY_BYTES, ClientAttempt
 from orchidgap.simulation.plan import milliseconds_to_us
+from orchidgap.simulation.request_end import ConnectionEndFacts, RequestEnd, judge_end
 
 if TYPE_CHECKING:
     from orchidgap.simulation.clients import Clients
 
-# after its client timeout an answer is waited for no longer
+# after its client timeout, or the last byte of its answer, no more is waited for
 OVERDUE_US = 3_000_000
-# an end that comes so soon after a request was written crossed it on the way
-CROSSING_US = 50_000
 PIECE_BYTES = 16_384  # of a large body that are written at once
 CLOSED = "closed"
-NO_STATUS = -1
 STATUS_UNKNOWN_CLASS = 404
 STATUS_FAILED = 500
 
@@ -38,6 +36,8 @@
         request_count: Requests that it has carried.
         unsent_body: Of a large request, what is yet to be written.
         bytes_per_s: The pace of a slow client, 0 for as fast as it goes.
+        last_byte_at_us: When the last byte of an answer came.
+        was_closed_at_write: The balancer's end had been shut when the request was written.
         conn: The socket with its buffers.
     """
 
@@ -48,10 +48,12 @@
         "clients",
         "conn",
         "incarnation",
+        "last_byte_at_us",
         "message",
         "reader",
         "request_count",
         "unsent_body",
+        "was_closed_at_write",
     )
 
     def __init__(self, clients: Clients, balancer: str, sock: socket.socket, opening: bool) -> None:
@@ -65,6 +67,8 @@
         self.request_count = 0
         self.unsent_body = b""
         self.bytes_per_s = 0
+        self.last_byte_at_us = 0
+        self.was_closed_at_write = False
         self.conn = Connection(clients.loop, sock, self, opening=opening, stamped=True)
         clients.connections[balancer][self] = None
 
@@ -75,6 +79,7 @@
         self.attempt = attempt
         self.message = message
         attempt.write_started_us = self.clients.loop.clock()
+        attempt.arrived_at_us = 0
         self.request_count += 1
         self._draw_pace()
         if len(message) > 1 and len(message[1]) > LARGE_BODY_BYTES:
@@ -133,6 +138,8 @@
         if attempt is None:
             return
         clients = self.clients
+        # asked of the kernel in the moment of the write: an end that comes later crossed nothing
+        self.was_closed_at_write = self.request_count > 1 and self.conn.peer_has_closed()
         # the turn may have begun long before this write
         now_us = clients.loop.clock()
         timeout_us = milliseconds_to_us(attempt.operation.request_class.client_timeout_ms)
@@ -154,6 +161,7 @@
             self.close()
             return
         reader.feed(view)
+        self.last_byte_at_us = received_at_us
         if not self.attempt.first_answer_byte_us:
             self.attempt.first_answer_byte_us = received_at_us
         if self.unsent_body:  # answered before all was sent: the rest does not matter any more
@@ -206,46 +214,61 @@
         self._forget()
         if attempt is None or attempt.status or attempt.abandoned:
             return
-        environment = clients.environment
-        if not environment.is_alive(self.balancer, self.incarnation):
+        end = judge_end(self._facts_of_end(attempt, what))
+        if end is RequestEnd.PROCESS_KILLED:
             attempt.abandoned = True
             clients.on_outcome(attempt, 0, 0)
-            return
-        unread = what != CLOSED and not self.reader.started
-        if unread:
-            environment.referee.failed_connections += 1
-        if self.request_count > 1 and (unread or self._crossed(attempt)):
-            clients.send_attempt(attempt, self.message, self.balancer, fresh=True)
-            return
-        self._judge_end(attempt, what)
-        clients.on_outcome(attempt, STATUS_FAILED, 0)
+        elif end is RequestEnd.CROSSED:
+            self._send_again(attempt)
+        elif end is RequestEnd.NOT_TAKEN:
+            self._on_not_taken(attempt)
+        else:
+            self._report_end(attempt, end)
+            clients.on_outcome(attempt, STATUS_FAILED, 0)
+
+    def _facts_of_end(self, attempt: ClientAttempt, what: str) -> ConnectionEndFacts:
+        """Return what is known of the request and the end of its connection."""
+        reader = self.reader
+        was_reset = what != CLOSED
+        answer_has_no_end = reader.started and not was_reset and reader.on_connection_closed()
+        return ConnectionEndFacts(
+            process_end=self.clients.environment.process_end(self.balancer, self.incarnation),
+            was_written=attempt.arrived_at_us > 0,
+            is_resting=self.request_count > 1,
+            was_reset=was_reset,
+            was_closed_at_write=self.was_closed_at_write,
+            was_seen_by_host=bool(attempt.host_attempts),
+            answer_begun=reader.started,
+            answer_is_malformed=reader.message.error_status > 0,
+            answer_has_no_end=answer_has_no_end,
+        )
 
-    def _crossed(self, attempt: ClientAttempt) -> bool:
-        """Return whether the request and the connection's end met on the way.
+    def _send_again(self, attempt: ClientAttempt) -> None:
+        """Send what was never read once more, on a new connection."""
+        self.clients.environment.referee.failed_connections += 1
+        self.clients.send_attempt(attempt, self.message, self.balancer, fresh=True)
 
-        Asked on real sockets only. An end that comes later was made by a balancer that had the
-        request, and one that a host has seen was read.
-        """
-        if self.clients.environment.network.virtual or self.reader.started:
-            return False
-        age_us = self.clients.loop.clock() - attempt.arrived_at_us
-        return age_us <= CROSSING_US and not attempt.host_attempts
+    def _on_not_taken(self, attempt: ClientAttempt) -> None:
+        """The connection ended, or never came up, before the request was written whole."""
+        if self.request_count > 1:
+            self._send_again(attempt)
+            return
+        referee = self.clients.environment.referee
+        referee.failed_connections += 1
+        if self.conn.connecting:
+            self.clients.on_refused(attempt, self.balancer)
+            return
+        referee.cut_while_written += 1
+        self.clients.on_outcome(attempt, STATUS_FAILED, 0)
 
-    def _judge_end(self, attempt: ClientAttempt, what: str) -> None:
+    def _report_end(self, attempt: ClientAttempt, end: RequestEnd) -> None:
         """Tell the checker of a request whose connection ended under it."""
-        reader = self.reader
         now_us = self.clients.loop.now
         referee = self.clients.environment.referee
-        if what == CLOSED and reader.started and reader.on_connection_closed():
-            why = f"{attempt.id.decode()}: no telling where its answer ends"
-            referee.record_breach("lost", now_us, why)
-        elif reader.message.error_status or reader.started:
-            # it can tell that this is not whole
+        if end is RequestEnd.TRUNCATED:
             referee.on_truncated_answer(attempt, now_us)
-        elif self.request_count == 1 and not attempt.host_attempts:
-            # the first on its connection, with nothing sent on for it: failed, not lost
-            attempt.status = NO_STATUS
-            referee.aborted += 1
+        elif self.reader.started:
+            referee.on_unreadable_answer(attempt, now_us)
         else:
             referee.on_connection_lost(attempt, now_us)
 
--- a/orchidgap/simulation/balancer_instance.py
+++ b/orchidgap/simulation/balancer_instance.py
@@ -24,9 +24,13 @@
 from orchidgap.simulation.balancer_loop import BalancerLoop
 from orchidgap.simulation.environment import Decider, Environment
 from orchidgap.simulation.listening_queue import ListenerHandle, SharedListener
+from orchidgap.simulation.plan import milliseconds_to_us
+from orchidgap.simulation.request_end import ProcessEnd
 from orchidgap.simulation.virtual_network import VirtualNetwork
 
 EXIT_POLL_INTERVAL_US = 10_000
+# beyond the longest client timeout: how long after SIGTERM a process is left alone
+KILL_MARGIN_US = 700_000
 MAX_LOG_RECORDS = 20_000
 HOSTS_PER_SUBNET = 250
 
@@ -115,6 +119,8 @@
         self.ready_at = 0
         self.died_at = 0
         self.is_shutting_down = False
+        self.shutdown_began_us = 0
+        self.ends: dict[int, ProcessEnd] = {}  # by incarnation
         self.pauses: list[Pause] = []
 
     def start(self, known: dict[str, Any]) -> None:
@@ -170,12 +176,36 @@
         else:
             self.environment.loop.call_later(EXIT_POLL_INTERVAL_US, self.poll_exit)
 
-    def mark_ended(self) -> None:
-        """Note that the process has ended, and tell the invariant checker."""
+    def begin_shutdown(self) -> None:
+        """Note that the process is asked to end."""
+        self.is_shutting_down = True
+        self.shutdown_began_us = self.environment.loop.now
+
+    def kill_time_us(self) -> int:
+        """Return when a process that was asked to end may be killed, at the earliest."""
+        timeouts_ms = [spec.client_timeout_ms for spec in self.environment.plan.request_classes()]
+        return self.shutdown_began_us + milliseconds_to_us(max(timeouts_ms)) + KILL_MARGIN_US
+
+    def process_end(self, incarnation: int) -> ProcessEnd:
+        """Return how an incarnation has ended, if it has."""
+        return self.ends.get(incarnation, ProcessEnd.RUNNING)
+
+    def end_by_kill(self) -> ProcessEnd:
+        """Return what a SIGKILL now means for what the process has taken."""
+        if self.has_exited():
+            return ProcessEnd.EXITED
+        if self.is_shutting_down and self.environment.loop.now >= self.kill_time_us():
+            return ProcessEnd.KILLED_PAST_GRACE
+        return ProcessEnd.KILLED
+
+    def mark_ended(self, end: ProcessEnd) -> None:
+        """Note how the process has ended, and tell the invariant checker."""
         now = self.environment.loop.now
         self.alive = False
         self.died_at = now
-        self.environment.referee.on_balancer_killed(self.name, self.incarnation, now)
+        self.ends[self.incarnation] = end
+        was_killed = end is ProcessEnd.KILLED
+        self.environment.referee.on_balancer_ended(self.name, self.incarnation, now, was_killed)
 
 
 class VirtualProcess(NamedTuple):
@@ -273,7 +303,7 @@
         """Close the listeners and all that the processes hold."""
         if not self.alive:
             return
-        self.mark_ended()
+        self.mark_ended(self.end_by_kill())
         self.network.unlisten(self.address)
         self.network.unlisten(self.admin_address)
         self.release()
@@ -287,7 +317,7 @@
     def shut_down(self) -> None:
         """Begin the node's graceful shutdown."""
         if self.alive and self.node and self.loop:
-            self.is_shutting_down = True
+            self.begin_shutdown()
             self.loop.call_soon(self.node.begin_shutdown)
             self.poll_exit()
 
--- a/orchidgap/simulation/balancer_process.py
+++ b/orchidgap/simulation/balancer_process.py
@@ -17,6 +17,7 @@
 from orchidgap.simulation.balancer_instance import ADMIN_PORT, BalancerInstance, Pause
 from orchidgap.simulation.environment import Environment
 from orchidgap.simulation.loopback_network import cpu_seconds_of
+from orchidgap.simulation.request_end import ProcessEnd
 
 LISTEN_BACKLOG = 512
 READINESS_POLL_INTERVAL_US = 50_000
@@ -127,9 +128,30 @@
         if self.alive and self.process:
             self.measure()
             self.kill_predecessor()
+            end = self.end_by_kill()
             self.process.kill()
             self.process.wait()
-            self.mark_ended()
+            self.mark_ended(end)
+
+    def process_end(self, incarnation: int) -> ProcessEnd:
+        """Return how an incarnation has ended; the present one is asked of the system."""
+        if not self.alive or incarnation != self.incarnation or incarnation in self.ends:
+            return super().process_end(incarnation)
+        code = self.process.poll() if self.process else None
+        if code is None:
+            return ProcessEnd.RUNNING
+        return ProcessEnd.KILLED if code == -signal.SIGKILL else ProcessEnd.EXITED
+
+    def mark_if_ended(self) -> None:
+        """Take note of an end that is not known yet; one that nobody asked for is a crash."""
+        code = self.process.poll() if self.process else None
+        if not self.alive or code is None:
+            return
+        end = self.process_end(self.incarnation)
+        if end is ProcessEnd.EXITED and not self.is_shutting_down:
+            now_us = self.environment.loop.now
+            self.environment.referee.on_balancer_crashed(self.name, code, now_us)
+        self.mark_ended(end)
 
     def release(self) -> None:
         """End the processes and close the listener that was passed to them."""
@@ -144,7 +166,7 @@
     def shut_down(self) -> None:
         """Send SIGTERM."""
         if self.alive and self.process:
-            self.is_shutting_down = True
+            self.begin_shutdown()
             self.process.send_signal(signal.SIGTERM)
             self.poll_exit()
 
--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -12,9 +12,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from orchidgap.net.attempt_failure import AttemptFailure
-from orchidgap.simulation.balancer_connection import BalancerConnection
+from orchidgap.simulation.balancer_connection import OVERDUE_US, BalancerConnection
 from orchidgap.simulation.observations import ClientAttempt, Operation
 from orchidgap.simulation.plan import RequestClassSpec, milliseconds_to_us, seconds_to_us
+from orchidgap.simulation.request_end import ProcessEnd
 
 if TYPE_CHECKING:
     from orchidgap.simulation.environment import Environment
@@ -285,16 +286,28 @@
 
     def on_overdue(self, connection: BalancerConnection, attempt: ClientAttempt) -> None:
         """An answer is waited for no longer."""
-        if connection.attempt is not attempt or attempt.status or connection.reader.started:
+        if connection.attempt is not attempt or attempt.status:
             return
-        environment = self.environment
-        balancer = connection.balancer
-        is_alive = environment.is_alive(balancer, connection.incarnation)
-        if is_alive and not environment.was_paused_since(balancer, attempt.arrived_at_us):
-            environment.referee.on_no_answer(attempt, self.loop.now)
+        patience_ends_us = self._patience_ends_us(connection, attempt)
+        if patience_ends_us > self.loop.now:
+            wait_us = min(patience_ends_us - self.loop.now, OVERDUE_US)
+            self.loop.call_later(wait_us, self.on_overdue, connection, attempt)
+            return
+        end = self.environment.process_end(connection.balancer, connection.incarnation)
+        if end is not ProcessEnd.KILLED:
+            self.environment.referee.on_no_answer(attempt, self.loop.now)
         connection.attempt = None
         connection.close()
 
+    def _patience_ends_us(self, connection: BalancerConnection, attempt: ClientAttempt) -> int:
+        """Return until when an answer may come: it goes on coming, or its process was stopped."""
+        last_us = connection.last_byte_at_us if connection.reader.started else 0
+        resumed_us = self.environment.last_pause_end_us(connection.balancer)
+        if resumed_us > attempt.arrived_at_us:
+            timeout_us = milliseconds_to_us(attempt.operation.request_class.client_timeout_ms)
+            last_us = max(last_us, resumed_us + timeout_us)
+        return last_us + OVERDUE_US if last_us else 0
+
     # --- what follows
 
     def on_outcome(self, attempt: ClientAttempt, status: int, retry_after_us: int) -> None:
--- a/orchidgap/simulation/environment.py
+++ b/orchidgap/simulation/environment.py
@@ -14,6 +14,7 @@
 from orchidgap.net.loop import Loop
 from orchidgap.simulation.invariant_checker import InvariantChecker
 from orchidgap.simulation.plan import Plan
+from orchidgap.simulation.request_end import ProcessEnd
 
 if TYPE_CHECKING:
     from orchidgap.simulation.balancer_instance import BalancerInstance
@@ -80,8 +81,12 @@
         """Return whether clients are sent there; `notice` is how late a death is seen."""
         ...
 
-    def was_paused_since(self, balancer: str, since: int) -> bool:
-        """Return whether the process stood still at any time after that."""
+    def process_end(self, balancer: str, incarnation: int) -> ProcessEnd:
+        """Return how an incarnation of a balancer has ended, if it has."""
+        ...
+
+    def last_pause_end_us(self, balancer: str) -> int:
+        """Return when the process last goes on after it was stopped, 0 for never."""
         ...
 
     def one_way_us(self, zone: int, other: int) -> int:
--- a/orchidgap/simulation/invariant_checker.py
+++ b/orchidgap/simulation/invariant_checker.py
@@ -31,6 +31,8 @@
 MAX_DESCRIBED_BREACHES = 50  # of each rule; the others are only counted
 # a rejection so long after the last that could be awaited was held back
 HELD_BACK_US = 60_000
+# after its client timeout a request that has no answer is lost
+LOST_AFTER_US = 500_000
 # of a cold host's load, from balancers that were notified of its start
 NOTIFIED_LOAD_RATIO = 0.66
 # of the origin's load, from which on misses at cold hosts have pushed it over
@@ -96,7 +98,9 @@
         self.bad_served = 0
         self.bad_ignored = 0
         self.rejected = 0
-        self.aborted = 0
+        self.answered_failed = 0  # with neither 200 nor a refusal
+        self.truncated = 0  # answers that were cut off, as their clients could tell
+        self.cut_while_written = 0  # requests whose connection ended before their last byte
         self.connections_dialled = 0  # to hosts
         self.list_calls = 0
         self.large_bodies = 0  # that came whole, both ways
@@ -179,7 +183,7 @@
             self.rejected += 1
             self._judge_rejection(attempt, at_us, who)
         else:
-            self.aborted += 1
+            self.answered_failed += 1
         second = self._second_of(at_us)
         self.rejections_by_second[second] = self.rejections_by_second.get(second, 0) + 1
         host_was_silent = self.tolerance_us > 0 and at_us < self.silent_host_until_us
@@ -190,6 +194,17 @@
         else:
             self._judge_waiting(failed)
 
+    def unanswered(self, at_us: int) -> list[ClientAttempt]:
+        """Return the requests whose final answer should have come by then, at the latest."""
+        latest_us = at_us - LOST_AFTER_US - self.tolerance_us
+        return [
+            attempt
+            for attempt in self.client_attempts.values()
+            if attempt.arrived_at_us
+            and attempt.deadline_us <= latest_us
+            and not (attempt.status or attempt.abandoned or attempt.first_answer_byte_us)
+        ]
+
     def judge_failed_answers(self) -> None:
         """Judge what could only be judged with all attempts known; called at the end."""
         failed_answers = self.failed_answers
@@ -253,19 +268,28 @@
             )
 
     def on_truncated_answer(self, attempt: ClientAttempt, at: int) -> None:
-        """Its client got a part of an answer and can tell; that is lost where its host was still
-        giving.
+        """Its client got a part of an answer and can tell.
+
+        That is lost but where a host broke its answer off: no fault of the balancer's own.
         """
         self.add_to_trace(at, "unfinished", attempt.id)
         attempt.status = -1
-        self.aborted += 1
-        if any(sent.streaming for sent in attempt.host_attempts):
+        self.truncated += 1
+        if not any(sent.was_broken_off for sent in attempt.host_attempts):
             self.record_breach(
                 "lost",
                 at,
-                f"{attempt.id.decode()} at {attempt.balancer}: cut off what its host still gives",
+                f"{attempt.id.decode()} at {attempt.balancer}: cut off what no host broke off",
             )
 
+    def on_unreadable_answer(self, attempt: ClientAttempt, at: int) -> None:
+        """Its client got what is no HTTP answer, or one with no telling where it ends."""
+        self.add_to_trace(at, "unreadable", attempt.id)
+        attempt.status = -1
+        self.record_breach(
+            "lost", at, f"{attempt.id.decode()} at {attempt.balancer}: no whole HTTP answer"
+        )
+
     def on_no_answer(self, attempt: ClientAttempt, at: int) -> None:
         """Its time is up, its balancer ran all along, and nothing came."""
         if not attempt.status and not attempt.abandoned:
@@ -274,16 +298,22 @@
                 "lost", at, f"{attempt.id.decode()} at {attempt.balancer}: never answered"
             )
 
-    def on_balancer_killed(self, balancer: str, life: int, at: int) -> None:
-        """Killed outright: what it held is its clients' to attempt again."""
+    def on_balancer_ended(self, balancer: str, life: int, at: int, was_killed: bool) -> None:
+        """Its process ended. What one held that was killed outright is its clients' to attempt
+        again; all else stays owed.
+        """
         self.add_to_trace(at, "died", balancer)
-        for attempt in self.client_attempts.values():
+        for attempt in self.client_attempts.values() if was_killed else ():
             if (attempt.balancer, attempt.incarnation) == (balancer, life) and not attempt.status:
                 attempt.abandoned = True
         for told in (self.notified_states, self.notified_starts):
             for pair in [pair for pair in told if pair[0] == balancer]:
                 del told[pair]
 
+    def on_balancer_crashed(self, balancer: str, code: int, at: int) -> None:
+        """Its process ended by itself, and nobody had asked for that."""
+        self.record_breach("lost", at, f"{balancer}: its process ended by itself, code {code}")
+
     def on_list_written(
         self, balancer: str, host: str, state: str, at: int, start: int = 0
     ) -> None:
--- a/orchidgap/simulation/listening_queue.py
+++ b/orchidgap/simulation/listening_queue.py
@@ -72,7 +72,9 @@
         listener.handles.append(self)
 
     def close(self) -> None:
-        """Give up the handle; connections that wait stay for the other processes."""
+        """Give up the handle; connections that wait stay for the other processes, if any."""
         self.open = False
         if self in self.listener.handles:
             self.listener.handles.remove(self)
+        if not self.listener.handles:
+            self.listener.close()
--- a/orchidgap/simulation/observations.py
+++ b/orchidgap/simulation/observations.py
@@ -39,7 +39,8 @@
     """One attempt of a balancer at a host, as the host saw it. Times in microseconds.
 
     `work_us` is what its work took. `outcome` is what the host answered, once that was written;
-    `streaming` tells that it still sends a large answer.
+    `streaming` tells that it still sends a large answer; `was_broken_off`, that it ended its own
+    answer before that was whole, or spoilt it.
     """
 
     client_attempt: ClientAttempt
@@ -50,6 +51,7 @@
     work_us: int = 0
     outcome: str = ""
     streaming: bool = False
+    was_broken_off: bool = False
     ended_at_us: int = 0
 
 
--- a/orchidgap/simulation/resp_cluster.py
+++ b/orchidgap/simulation/resp_cluster.py
@@ -18,11 +18,17 @@
 from orchidgap.resp.local_commands import slot_of_key as slot_at
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command, encode_error
-from orchidgap.simulation.balancer_connection import OVERDUE_US
+from orchidgap.simulation.balancer_connection import CLOSED, OVERDUE_US
 from orchidgap.simulation.baselines import even_range_owner
 from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.observations import ClientAttempt, Operation
 from orchidgap.simulation.plan import Fault, HostModel, milliseconds_to_us, seconds_to_us
+from orchidgap.simulation.request_end import (
+    ConnectionEndFacts,
+    ProcessEnd,
+    RequestEnd,
+    judge_end,
+)
 from orchidgap.simulation.servers import Job, Store
 
 if TYPE_CHECKING:
@@ -267,12 +273,16 @@
         self.life = callers.environment.incarnation_of(post)
         self.reader = RespReader()
         self.asks: deque[ClientAttempt] = deque()
+        self.has_answered = False
+        self.written_to_closed: set[bytes] = set()  # ids of requests that crossed the other's end
         self.conn = Connection(callers.loop, sock, self, opening=opening)
 
     def carry(self, ask: ClientAttempt, message: tuple[bytes, ...]) -> None:
         self.asks.append(ask)
         self.conn.send(*message)
         if self.conn.is_open:
+            if self.has_answered and self.conn.peer_has_closed():
+                self.written_to_closed.add(ask.id)
             now = self.clients.loop.now
             ask.arrived_at_us, ask.deadline_us = (
                 now,
@@ -292,6 +302,7 @@
             if not self.asks:
                 return callers.environment.referee.on_extra_bytes(None, callers.loop.now)
             ask = self.asks.popleft()
+            self.has_answered = True
             status = 503 if text.startswith(b"-TRYAGAIN") else 500 if text[:1] == b"-" else 200
             callers.environment.referee.on_answer(ask, status, text, callers.loop.now)
             pause = text.rpartition(b"come back in ")[2].partition(b" ms")[0]
@@ -306,11 +317,19 @@
     def ended(self, what: str) -> None:
         callers = self.clients
         callers.lanes[self.post] = [link for link in callers.lanes[self.post] if link is not self]
-        lives = callers.environment.is_alive(self.post, self.life)
+        process_end = callers.environment.process_end(self.post, self.life)
         for ask in self.asks:
             if ask.status or ask.abandoned:
                 continue
-            if lives and not callers.environment.balancers[self.post].is_shutting_down:
+            facts = ConnectionEndFacts(
+                process_end,
+                was_written=ask.arrived_at_us > 0,
+                is_resting=self.has_answered,
+                was_reset=what != CLOSED,
+                was_closed_at_write=ask.id in self.written_to_closed,
+                was_seen_by_host=bool(ask.host_attempts),
+            )
+            if judge_end(facts) is RequestEnd.LOST:
                 callers.environment.referee.on_connection_lost(ask, callers.loop.now)
             else:
                 ask.abandoned = True
@@ -349,9 +368,15 @@
         room[0].carry(ask, message)
 
     def late(self, link: RespLink, ask: ClientAttempt) -> None:
-        if not ask.status and not ask.abandoned and self.environment.is_alive(link.post, link.life):
-            if not self.environment.was_paused_since(link.post, ask.arrived_at_us):
-                self.environment.referee.on_no_answer(ask, self.loop.now)
+        if ask.status or ask.abandoned:
+            return
+        resumed_us = self.environment.last_pause_end_us(link.post)
+        timeout_us = milliseconds_to_us(ask.operation.request_class.client_timeout_ms)
+        wait_us = resumed_us + timeout_us + OVERDUE_US - self.loop.now
+        if resumed_us > ask.arrived_at_us and wait_us > 0:
+            self.loop.call_later(min(wait_us, OVERDUE_US), self.late, link, ask)
+        elif self.environment.process_end(link.post, link.life) is not ProcessEnd.KILLED:
+            self.environment.referee.on_no_answer(ask, self.loop.now)
 
 
 def slot_stores(environment: Environment) -> list[SlotStore]:
--- a/orchidgap/simulation/servers.py
+++ b/orchidgap/simulation/servers.py
@@ -162,6 +162,7 @@
     def close(self) -> None:
         if self.flow:
             self.flow.streaming = False  # it gives no more by itself
+            self.flow.was_broken_off = True
         if self.conn.is_open:
             self.conn.close()
             self.ended("")
@@ -417,6 +418,7 @@
         self.environment.referee.on_attempt_settled(
             job.arrival, "done" if good else "spoilt", self.loop.clock(), body if good else b""
         )
+        job.arrival.was_broken_off = not good
         link.job = None
         link.say(
             *{
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -22,11 +22,16 @@
 from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.discovery_server import DiscoveryAgent, DiscoveryServer
 from orchidgap.simulation.environment import AttemptLimit, Decider
-from orchidgap.simulation.invariant_checker import InvariantChecker, simulated_duration_us
+from orchidgap.simulation.invariant_checker import (
+    LOST_AFTER_US,
+    InvariantChecker,
+    simulated_duration_us,
+)
 from orchidgap.simulation.load_evenness import PhaseRecorder
 from orchidgap.simulation.loopback_network import LoopbackNetwork
 from orchidgap.simulation.operations import BINDS_AFTER, Front
 from orchidgap.simulation.plan import Plan, RequestClassSpec, milliseconds_to_us, seconds_to_us
+from orchidgap.simulation.request_end import ProcessEnd
 from orchidgap.simulation.resp_cluster import Cluster, RespClients, SlotStore
 from orchidgap.simulation.servers import Store
 from orchidgap.simulation.verdict import verdict_line
@@ -234,9 +239,13 @@
             return instance.ready_at > 0
         return now - instance.died_at < notice
 
-    def was_paused_since(self, balancer: str, since: int) -> bool:
-        """Return whether it stood still after that: a stopped process cannot answer."""
-        return any(pause.end_us > since for pause in self.balancers[balancer].pauses)
+    def process_end(self, balancer: str, incarnation: int) -> ProcessEnd:
+        """Return how an incarnation of a balancer has ended, if it has."""
+        return self.balancers[balancer].process_end(incarnation)
+
+    def last_pause_end_us(self, balancer: str) -> int:
+        """Return when it last goes on after it was stopped: till then it cannot answer."""
+        return max((pause.end_us for pause in self.balancers[balancer].pauses), default=0)
 
     def one_way_us(self, zone: int, other: int) -> int:
         """Draw the latency of one message between two zones."""
@@ -363,6 +372,7 @@
 
     def build_verdict(self) -> dict[str, Any]:
         """Return the checker's verdict, with the balancers' faults and costs."""
+        self.report_unanswered_requests()
         verdict = verdict_line(self.referee)
         balancers = self.balancers.values()
         virtual = [one for one in balancers if isinstance(one, VirtualBalancer)]
@@ -376,6 +386,18 @@
             verdict |= process_costs(processes, len(self.referee.client_attempts))
         return verdict
 
+    def report_unanswered_requests(self) -> None:
+        """Report what is still owed its answer at the end, though its time is long over."""
+        now_us = self.loop.now
+        for attempt in self.referee.unanswered(now_us):
+            timeout_ms = attempt.operation.request_class.client_timeout_ms
+            resumed_us = self.last_pause_end_us(attempt.balancer)
+            if resumed_us + milliseconds_to_us(timeout_ms) + LOST_AFTER_US > now_us:
+                continue
+            end = self.process_end(attempt.balancer, attempt.incarnation)
+            if end is not ProcessEnd.KILLED:
+                self.referee.on_no_answer(attempt, now_us)
+
     def close(self) -> None:
         """End all balancers and close all sockets and files."""
         for balancer in self.balancers.values():
--- a/orchidgap/simulation/virtual_network.py
+++ b/orchidgap/simulation/virtual_network.py
@@ -60,7 +60,7 @@
     def dial(self, address: Address) -> socket.socket | AttemptFailure:
         """Connect a client at once: it puts its latency on by itself."""
         listener = self.listeners.get(address)
-        if listener is None:
+        if listener is None or (isinstance(listener, ListeningQueue) and not listener.open):
             return AttemptFailure(SendProgress.UNSENT, "broken", "Connection refused")
         near, far = connected_pair()
         if isinstance(listener, ListeningQueue):
--- a/tests/fault_tests/test_fault_tests.py
+++ b/tests/fault_tests/test_fault_tests.py
@@ -30,6 +30,11 @@
     "blind": ("spread-hot", "uneven"),
     "echoes": ("spread-pool", "uneven"),
     "hangs-up": ("soak", "lost"),
+    "slams": ("change-beside", "lost"),
+    "snaps": ("change-beside", "lost"),
+    "clips": ("change-beside", "lost"),
+    "quits": ("soak", "lost"),
+    "outstays": ("soak", "lost"),
     "dawdles": ("soak", "late"),
     "stubborn": ("soak", "drain"),
 }
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -10,6 +10,7 @@
 from orchidgap.decisions.placement import Placement
 from orchidgap.decisions.retry_policy import RETRYABLE_OUTCOMES
 from orchidgap.http1.writers import response_head
+from orchidgap.net.traffic_counts import ConnectionEnd
 from orchidgap.net.upstream_attempt import UpstreamAttempt
 
 
@@ -290,7 +291,87 @@
         exchange = self.exchange(req)
         self.close_request(req)
         exchange.close()
-        exchange.client.close()
+        exchange.client.close(ConnectionEnd.MADE_WAY)
+
+
+class ClosesFirstRequest(Defect):
+    """Closes each connection on the first request that it has read there."""
+
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        exchange = self.port.exchanges[id]
+        if exchange.client.conn.bytes_written:
+            return super().on_request(id, left, write, rule_set, key, tenant, *rest)
+        exchange.close()
+        self.port.loop.call_soon(exchange.client.conn.fail, "closed")
+
+
+class ClosesALaterRequest(Defect):
+    """Closes a connection 1 ms after it has read a request that is not the first on it."""
+
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        exchange = self.port.exchanges[id]
+        if id % 40 or not exchange.client.conn.bytes_written:
+            return super().on_request(id, left, write, rule_set, key, tenant, *rest)
+        exchange.close()
+        self.port.loop.call_later(1_000, exchange.client.conn.fail, "closed")
+
+
+class OnWire:
+    """What a client gets in the place of its answer, and whether its connection is reset then."""
+
+    def __init__(self, client, text, resets):
+        self.client = client
+        self.text = text
+        self.resets = resets
+
+    def answer(self, status, body=b"", retry_after_us=0, length=None):
+        self.client.conn.send(self.text)
+        if self.resets:
+            self.client.conn.reset()
+
+
+class SaysOnWire(Defect):
+    TEXT = b""
+    RESETS = False
+
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        if id % 40 == 0:
+            exchange = self.port.exchanges[id]
+            exchange.client = OnWire(exchange.client, self.TEXT, self.RESETS)
+        super().on_request(id, left, write, rule_set, key, tenant, *rest)
+
+
+class ResetsHalfAnAnswer(SaysOnWire):
+    """Begins an answer that its host has given whole, and resets the connection."""
+
+    TEXT = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it"
+    RESETS = True
+
+
+class StopsInAnAnswer(SaysOnWire):
+    """Begins an answer, and neither goes on nor closes."""
+
+    TEXT = b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf of it"
+
+
+class AnswersNoHttp(SaysOnWire):
+    """Its answer is none, and the connection is reset behind it."""
+
+    TEXT = b"\x00 no answer\r\n\r\n"
+    RESETS = True
+
+
+class NeverAnswersTheLast(Defect):
+    """From some time on it answers nothing: what comes last has no time left to be seen overdue."""
+
+    def on_request(self, id, left, write, rule_set, key, tenant, *rest):
+        if self.now < self.began + 7_500_000:
+            return super().on_request(id, left, write, rule_set, key, tenant, *rest)
+        self.port.exchanges[id].deadline_timer.cancel()
+
+    def __init__(self, terms, port, seed, now):
+        super().__init__(terms, port, seed, now)
+        self.began = now
 
 
 class MakesUpIds(Defect):
@@ -389,6 +470,11 @@
     return tomllib.loads((TRIALS / f"{name}.toml").read_text()) | more
 
 
+ROLL = USUAL | {
+    "rate": 200.0,
+    "trouble": [{"kind": "balancer-roll", "at-s": 2, "for-s": 2, "part": 1.0}],
+}
+
 # the defect, its day, the rule that it breaks
 PLANTED = [
     (ResendsAnything, BUSY | {"origin": {"errors": 0.2, "uneven": 0.0}}, "twice"),
@@ -408,6 +494,13 @@
     (TriesForEver, FAILS, "twice"),
     (SendsAfterTheAnswer, USUAL, "late"),
     (HangsUp, CROWDED, "lost"),
+    (ClosesFirstRequest, USUAL, "lost"),
+    (ClosesALaterRequest, USUAL, "lost"),
+    (ResetsHalfAnAnswer, USUAL, "lost"),
+    (StopsInAnAnswer, USUAL, "lost"),
+    (AnswersNoHttp, USUAL, "lost"),
+    (NeverAnswersTheLast, USUAL, "lost"),
+    (EndsAtOnce, ROLL, "lost"),
     (MakesUpIds, USUAL, "lost"),
     (CutsAnswersShort, USUAL, "lost"),
     (
