SIGHUP as a process starts ends it no more

What callers saw: a balancer that was started and got SIGHUP 0.37 s later ended (exit by signal 1), and nobody served there until it was started again.

Cause: SIGHUP's default ends a process; the program blocks it in server.serve, after the interpreter's start and all imports, 0.1 s on a quiet machine and 0.4 s beside load.

--- a/Makefile
+++ b/Makefile
@@ -46,7 +46,7 @@
 	set -e; for plan in drills/change-*.toml; do $(PYTHON) -m orchidgap drill $$plan; done
 
 run: build
-	exec $(PYTHON) -m orchidgap serve
+	trap '' HUP; exec $(PYTHON) -m orchidgap serve
 
 clean:
 	rm -rf .venv
--- a/orchidgap/fault_tests/child_processes.py
+++ b/orchidgap/fault_tests/child_processes.py
@@ -25,6 +25,12 @@
     LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
+def start_as_deployed() -> None:
+    """Begin as the operators' command does: SIGHUP is ignored until the program handles it."""
+    die_with_parent()
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 def memory_folder() -> str | None:
     """Return a folder in memory, if there is one.
 
@@ -100,5 +106,5 @@
                 stderr=log,
                 stdout=log,
                 env=os.environ | variables,
-                preexec_fn=die_with_parent,
+                preexec_fn=start_as_deployed,
             )
--- a/tests/net/test_starting.py
+++ b/tests/net/test_starting.py
@@ -1,6 +1,13 @@
 """A signal that comes while the program starts."""
 
+import os
 import signal
+import socket
+import subprocess
+import time
+import tomllib
+from contextlib import suppress
+from pathlib import Path
 
 import orjson
 import pytest
@@ -67,6 +74,46 @@
     nodes[0].clients.listening_socket.close()
 
 
+# a process that was told to read its file anew while it starts ended, and served nobody
+@pytest.mark.parametrize("first_ms", [0, 10, 30, 100])
+def test_sighup_from_the_first_moment_of_the_deployed_command_ends_nothing(tmp_path, first_ms):
+    root = Path(__file__).parents[2]
+    command = tomllib.loads((root / "deploy" / "balancer.toml").read_text())["run"]
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address = free.getsockname()
+    path = tmp_path / "c"
+    path.write_bytes(orjson.dumps(GOOD | {"listen": f"127.0.0.1:{address[1]}"}))
+    environment = os.environ | {"GW_CONFIG": str(path)}
+    process = subprocess.Popen(["sh", "-c", command], cwd=root, env=environment)
+    try:
+        await_program(process.pid)
+        time.sleep(first_ms / 1e3)
+        for _ in range(100):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(0.004)
+        assert is_up_within(address, 10.0) and process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
+
+
+def await_program(pid):
+    """Return once the shell has become the program."""
+    while not Path(f"/proc/{pid}/cmdline").read_bytes().partition(b"\0")[0].endswith(b"python"):
+        time.sleep(0.0005)
+
+
+def is_up_within(address, seconds):
+    end_s = time.monotonic() + seconds
+    while time.monotonic() < end_s:
+        with suppress(OSError), socket.create_connection(address, timeout=1.0) as sock:
+            sock.sendall(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+            if sock.recv(64).startswith(b"HTTP/1.1 200"):
+                return True
+        time.sleep(0.02)
+    return False
+
+
 # --- another customer's settings
 
 WHOLE = {
