Pipelines: no command is denied because its own client asked much at once

Cause: all commands were handed to the decisions at once, queued against an objective that ran from their common arrival; Admission rejects all while one has waited half the objective, whichever server that is for; and the limit takes a server for slow by the objective alone, though no other can take its place.

Change: a connection keeps what stands behind a command that waits for the same server; objective from the turn, deadline from the arrival, in HTTP/1.1 too; with slot owners the limit follows a server's least latency, a long wait rejects only for its own server, and what would come too late is denied unsent (writes ended "may have run").

Decisions for hosts with stand-ins do not change.

--- a/orchidgap/decisions/admission.py
+++ b/orchidgap/decisions/admission.py
@@ -5,7 +5,7 @@
 Two rules turn requests away early, while a quick answer still helps their clients:
 
 - All are, while the oldest request that waits for a cache has waited over half of the latency
-  objective.
+  objective. Where servers own their slots, all for the server that it waits for.
 - Under overload a tenant over its share of what is let in is shed, by chance, until it keeps to
   it. Only where there is one balancer: one of several may serve one tenant alone.
 """
@@ -66,11 +66,25 @@
         # Requests that wait for the origin say nothing of the caches, which still have most keys.
         cache_wait_us = self.placement.oldest_wait_us()
         self._worst_wait_us = max(self._worst_wait_us, cache_wait_us, self.origin.oldest_wait_us())
-        if cache_wait_us > context.latency_objective_us // MAX_WAIT_DIVISOR:
+        max_wait_us = context.latency_objective_us // MAX_WAIT_DIVISOR
+        if cache_wait_us > max_wait_us and self._meets_long_wait(request, max_wait_us):
             context.reject(request)
             return
         self.next_stage.forward(request)
 
+    def _meets_long_wait(self, request: Request, max_wait_us: int) -> bool:
+        """Whether the request would wait behind one that has waited too long.
+
+        Where servers own their slots that is one for its own server, and a wait for one answer of
+        that is none too long: there is no quicker one.
+        """
+        if self.context.slot_map is None:
+            return True
+        owner = self.context.slot_owner(request)
+        answer_us = owner.smoothed_latency_us if owner else 0
+        wait_us = self.placement.oldest_wait_for_owner_us(owner)
+        return wait_us > max(max_wait_us, answer_us)
+
     def on_attempt_done(self, request: Request, attempt: Attempt) -> None:
         """No stage has another attempt for the request: that was its last chance."""
         if not request.queued:  # else it waits already, while another of its attempts failed
--- a/orchidgap/decisions/concurrency_limit.py
+++ b/orchidgap/decisions/concurrency_limit.py
@@ -22,6 +22,9 @@
 ORIGIN_MIN_DECREASE_RATIO = 0.2
 MAX_DECREASE_RATIO = 0.9  # what it leaves at most
 LATENCY_MEMORY_US = 5_000_000  # a smoothed latency that is older says nothing
+# of a server's least latency, above which its answers are slow: load has made them so
+OWN_SLOW_RATIO = 1.5
+LEAST_LATENCY_STRETCH_US = 10_000_000  # a least latency counts for one to two of these
 SMOOTHING_DIVISOR = 8  # a new latency weighs one in so many
 
 # Latency objectives, and requests that wanted the host, until a limit that fell to 0 is 1 again.
@@ -30,11 +33,18 @@
 
 
 class ConcurrencyLimiter:
-    """Keeps the limits, which stand in `HostState`."""
+    """Keeps the limits, which stand in `HostState`.
+
+    Attributes:
+        hosts_are_owners: No other host can serve in a host's place. Then nothing is won by leaving
+            one alone that is slow but no slower than without load: its answers count as slow by
+            its own least latency too.
+    """
 
     def __init__(self, context: RuleContext) -> None:
         """Take time, settings and randomness from the context."""
         self.context = context
+        self.hosts_are_owners = False
 
     def reset(self, host: HostState) -> None:
         """Set the limit of a host that has just started, or is new.
@@ -49,6 +59,8 @@
         host.limit_floor = _limit_factor(host) * LIMIT_FLOOR_ATTEMPTS / balancer_count
         host.limit_decreased_at_us = 0
         host.smoothed_latency_us = 0
+        host.least_latency_us = 0
+        host.least_latency_before_us = 0
 
     def has_capacity(self, host: HostState) -> bool:
         """Whether the host's limit lets one more attempt go; by chance where it is below 1."""
@@ -78,20 +90,40 @@
     def slowness(self, host: HostState) -> float:
         """The smoothed latency over what counts as slow there: above 1 the limit falls."""
         slow_ratio = ORIGIN_SLOW_RATIO if host.is_origin else CACHE_SLOW_RATIO
-        return host.smoothed_latency_us / (self.context.latency_objective_us * slow_ratio)
+        slow_us = self.context.latency_objective_us * slow_ratio
+        if self.hosts_are_owners:
+            slow_us = max(slow_us, OWN_SLOW_RATIO * host.least_latency_us)
+        return host.smoothed_latency_us / slow_us
 
-    def record_latency(self, host: HostState, latency_us: int) -> None:
+    def _note_least_latency(self, host: HostState, latency_us: int) -> None:
+        """Keep the least latency of this stretch of time and the last one."""
+        now = self.context.now
+        if now - host.least_latency_since_us >= LEAST_LATENCY_STRETCH_US:
+            host.least_latency_before_us = host.least_latency_us
+            host.least_latency_us = latency_us
+            host.least_latency_since_us = now
+        known_us = [host.least_latency_us, host.least_latency_before_us, latency_us]
+        host.least_latency_us = min(one_us for one_us in known_us if one_us)
+
+    def record_latency(self, host: HostState, latency_us: int, is_answer: bool = True) -> None:
         """Smooth the host's latency by that of one attempt, and move its limit by the result.
 
         The limit falls while answers are slow. Else it grows where it is used: by one an answer
         until it was first decreased, then by one a round trip; and doubles by a good answer of
         an origin while it is below 1.
+
+        Args:
+            host: Whose latency it is.
+            latency_us: Of an answer, or how long an attempt has waited for one so far.
+            is_answer: Whether it is that of an answer.
         """
         now = self.context.now
         is_recent = now - host.latency_recorded_at_us < LATENCY_MEMORY_US
         previous_us = (is_recent and host.smoothed_latency_us) or latency_us
         host.smoothed_latency_us = previous_us + (latency_us - previous_us) // SMOOTHING_DIVISOR
         host.latency_recorded_at_us = now
+        if self.hosts_are_owners and is_answer:
+            self._note_least_latency(host, max(1, latency_us))
         slowness = self.slowness(host)
         if slowness > 1.0:
             least = ORIGIN_MIN_DECREASE_RATIO if host.is_origin else CACHE_MIN_DECREASE_RATIO
--- a/orchidgap/decisions/dispatch.py
+++ b/orchidgap/decisions/dispatch.py
@@ -21,8 +21,8 @@
 )
 from orchidgap.decisions.settings import ServiceSettings
 
-# An attempt is late after this part of the latency objective;
-# at an origin after so many of its latencies at least.
+# An attempt is late after this part of the latency objective, at a server that owns its slots after
+# the whole; there and at an origin after so many of its latencies at least.
 LATE_TENTHS = 6
 ORIGIN_LATE_LATENCIES = 4
 LOST_LATENCIES = 6  # of a host that answers others: who is out that long was lost on the way
@@ -70,7 +70,9 @@
         attempt.started_at_us = context.now
         host.in_flight += 1
         late_after_us = context.latency_objective_us * LATE_TENTHS // 10
-        if host.is_origin:
+        if context.limiter.hosts_are_owners:
+            late_after_us = context.latency_objective_us
+        if host.is_origin or context.limiter.hosts_are_owners:
             late_after_us = max(late_after_us, ORIGIN_LATE_LATENCIES * host.smoothed_latency_us)
         context.call_later(late_after_us, self.on_late, attempt)
 
@@ -85,7 +87,7 @@
         if self.is_lost(attempt):
             self._hedge(attempt)
         elif not host.is_origin:
-            self._record_latency(host, self.context.now - attempt.started_at_us)
+            self._record_latency(host, self.context.now - attempt.started_at_us, False)
             if not self.context.settings.may_hedge:
                 # Few of its answers come here, and none while it is silent.
                 self.context.limiter.decrease_limit(host, SILENT_DECREASE_RATIO)
@@ -140,7 +142,8 @@
             outcome == AttemptOutcome.TIMED_OUT and not self.is_lost(attempt)
         )
         if tells_latency:
-            self._record_latency(host, now - attempt.started_at_us)
+            is_answer = outcome == AttemptOutcome.DONE
+            self._record_latency(host, now - attempt.started_at_us, is_answer)
         elif outcome in HOST_FAILURES:
             self._on_host_failure(host, outcome)
         self.previous_stage.on_attempt_done(request, attempt)
@@ -165,11 +168,11 @@
         request.attempt_cancelled = True
         self.context.port.cancel(request.id, request.attempts.index(attempt))
 
-    def _record_latency(self, host: HostState, latency_us: int) -> None:
+    def _record_latency(self, host: HostState, latency_us: int, is_answer: bool) -> None:
         limiter = self.context.limiter
-        limiter.record_latency(host, latency_us)
+        limiter.record_latency(host, latency_us, is_answer)
         if not host.is_origin:
-            limiter.record_latency(self.placement.all_caches, latency_us)
+            limiter.record_latency(self.placement.all_caches, latency_us, is_answer)
 
     def _on_host_failure(self, host: HostState, outcome: AttemptOutcome) -> None:
         context = self.context
--- a/orchidgap/decisions/placement.py
+++ b/orchidgap/decisions/placement.py
@@ -158,6 +158,9 @@
     def forward_to_slot_owner(self, request: Request) -> None:
         """Pass the request down with the server that owns its slot, and nobody in its place."""
         ready_owner = self._ready_slot_owner(request)
+        if ready_owner and self._comes_too_late(request, ready_owner):
+            self.context.reject(request)
+            return
         if ready_owner:
             self.next_stage.forward(request, ready_owner)
             return
@@ -168,6 +171,13 @@
             return
         self.enqueue(request)  # until there is room, or an owner is known
 
+    def oldest_wait_for_owner_us(self, owner: HostState | None) -> int:
+        """How long ago the decisions heard of the first request that waits for this server."""
+        for request in self.queue:
+            if not request.answered and self.context.slot_owner(request) is owner:
+                return self.context.now - request.handled_at_us
+        return 0
+
     def drain_queue(self) -> None:
         """Send on what waits.
 
@@ -182,7 +192,9 @@
             if request.answered:
                 continue
             owner = self._ready_slot_owner(request)
-            if owner:
+            if owner and self._comes_too_late(request, owner):
+                self.context.reject(request)
+            elif owner:
                 self.next_stage.forward(request, owner)
             else:
                 self.queue.append(request)
@@ -239,6 +251,13 @@
         action = redirect_action(request.redirects - 1, target is not None, target_drains)
         return action is not RedirectAction.GIVE_UP
 
+    def _comes_too_late(self, request: Request, owner: HostState) -> bool:
+        """Whether even the server's quickest answer would come when its client has gone.
+
+        A write that is sent all the same may have run, and its client is not told.
+        """
+        return request.deadline_us - self.context.now < owner.least_latency_us
+
     def _ready_slot_owner(self, request: Request) -> HostState | None:
         owner = self.context.slot_owner(request)
         is_ready = owner is not None and owner.state == HostStatus.READY
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -76,6 +76,9 @@
     capacity_checks: int = 0  # how often it was wanted since its limit, being below 1, was set
     smoothed_latency_us: int = 0  # of its answers
     latency_recorded_at_us: int = 0
+    least_latency_us: int = 0  # of its answers in this and the last stretch of time; 0 for none
+    least_latency_before_us: int = 0  # in the last stretch alone
+    least_latency_since_us: int = 0  # when this stretch began
     last_response_at_us: int = 0  # when it last answered at all
 
     # The loads that ranges are drawn by.
--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -47,6 +47,7 @@
         closes_after_stream: the connection ends with that response.
         chunked: the body of that response is chunked.
         stream_source: the host's connection that the response comes from.
+        turn_at_us: when the request behind the last answer came to be the oldest.
     """
 
     is_transferable = True
@@ -58,6 +59,7 @@
         "reader",
         "stream_source",
         "streaming",
+        "turn_at_us",
         "upload",
     )
 
@@ -71,6 +73,7 @@
         self.closes_after_stream = False
         self.chunked = False
         self.stream_source: Connection | None = None
+        self.turn_at_us = 0
         super().__init__(clients, sock)
 
     @property
@@ -316,6 +319,7 @@
         if self.conn.read_paused and len(reader.pipelined) < MAX_PIPELINED:
             self.conn.pause_reading(False)
         if reader.started:
+            self.turn_at_us = self.listener.loop.now
             self.listener.await_request(self)
             self.listener.loop.call_soon(self.process_next)
         else:
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -126,10 +126,20 @@
             self.deadline_timer = self.node.loop.call_at(self.deadline_us, self.on_deadline)
 
     def waited_us(self) -> int:
-        """How long ago the last byte came; 0 while it is still to come."""
+        """How long ago it could have been handled; 0 while its last byte is still to come.
+
+        What waited behind others of its client has its latency objective from its turn; its
+        deadline runs from its arrival all the same.
+        """
         if self.upload and not self.upload.complete:
             return 0
-        return max(0, self.node.loop.now - self.client.received_at_us)
+        since_us = max(self.client.received_at_us, self.client.turn_at_us)
+        return max(0, self.node.loop.now - since_us)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether it is answered or an attempt of it was sent; else it waits for a host."""
+        return self.closed or bool(self.attempts)
 
     def on_body_complete(self) -> None:
         """The last byte of a body that flows is there."""
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -141,6 +141,11 @@
             return True
         return self.handover.active and self.handover.is_request_open(request_id)
 
+    def slot_owner(self, slot: int) -> str:
+        """The id of the server that owns the slot; empty where that is not known."""
+        slot_map = self.balancer.slot_map
+        return (slot_map and slot_map.owner(slot)) or ""
+
     def close_idle_connection(self) -> bool:
         """Close an idle connection to a host; whether there was one."""
         return self.pools.close_idle()
--- a/orchidgap/net/request_handler.py
+++ b/orchidgap/net/request_handler.py
@@ -12,6 +12,10 @@
 class PendingRequest(Protocol):
     """A request that was handed to the node and has no answer yet."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether it is answered or an attempt of it was sent; else it waits for a host."""
+
     def on_client_gone(self) -> None:
         """Its client has gone away."""
 
@@ -30,6 +34,10 @@
     def received_at_us(self) -> int:
         """When the request's last byte came, on the loop's clock."""
 
+    @property
+    def turn_at_us(self) -> int:
+        """When what its client had sent before let it go, on the loop's clock; 0 for at once."""
+
     def has_disconnected(self) -> bool:
         """Whether its client has closed; it is let go then, though not within this call."""
 
@@ -59,6 +67,9 @@
     def is_request_open(self, request_id: bytes) -> bool:
         """Whether a request of this id is open."""
 
+    def slot_owner(self, slot: int) -> str:
+        """The id of the server that owns the slot; empty where that is not known."""
+
     def close_idle_connection(self) -> bool:
         """Close an idle connection to a host; whether there was one."""
 
--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -74,6 +74,7 @@
         """Returns who tells the node of hosts."""
         slots = SlotMap(node.balancer.rng, node.loop.now)
         node.balancer.slot_map = slots
+        node.balancer.limiter.hosts_are_owners = True
         self.slot_discovery = SlotDiscovery(
             node, slots, self.config.seeds, self.config.secret, dial
         )
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -25,6 +25,10 @@
     def received_at_us(self) -> int:
         """When its last bytes arrived, by the loop's clock."""
 
+    @property
+    def room_at_us(self) -> int:
+        """When an answer last made room for further commands."""
+
     def has_disconnected(self) -> bool:
         """Whether its client has closed."""
 
@@ -43,6 +47,8 @@
         joined: the reply that this one is a part of, None for a command's own.
         pending_request: the request while it is handled.
         received_at_us: when the command arrived.
+        is_held: it waits for one before it, which waits for the same server.
+        turn_at_us: when the commands before it let it go.
         encoded: the answer, None while there is none.
         slot: slot of the key, -1 where the command needs no host.
         is_write: it changes something.
@@ -52,12 +58,14 @@
     __slots__ = (
         "encoded",
         "forward",
+        "is_held",
         "is_write",
         "joined",
         "pending_request",
         "queue",
         "received_at_us",
         "slot",
+        "turn_at_us",
     )
 
     def __init__(self, queue: ReplyQueue, joined: JoinedReply | None = None) -> None:
@@ -67,10 +75,18 @@
         self.pending_request: PendingRequest | None = None
         self.encoded: bytes | None = None
         self.received_at_us = queue.received_at_us
+        self.turn_at_us = queue.room_at_us
         self.slot = -1
         self.is_write = False
+        self.is_held = False
         self.forward: Callable[[], None] | None = None
 
+    @property
+    def awaits_host(self) -> bool:
+        """Whether the command was forwarded, and waits for a host that has room for it."""
+        pending = self.pending_request
+        return pending is not None and not pending.has_begun
+
     def answer(
         self, status: int, body: bytes = b"", retry_after_us: int = 0, length: int | None = None
     ) -> None:
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -1,7 +1,8 @@
 """Connections from clients that speak RESP: commands in, replies out in the order of the commands.
 
 Commands of one connection may be pipelined. Those for different slots are in flight together; those
-for one slot keep their order, and only reads among them are in flight together.
+for one slot keep their order, and only reads among them are in flight together. While one of them
+waits for a server that has no room, those behind it for the same server wait here.
 """
 
 from __future__ import annotations
@@ -42,18 +43,25 @@
         reader: what arrives from it.
         replies: places of the commands that are not answered, in order.
         in_flight_by_slot: replies of forwarded commands that are not answered, by slot, in order.
+        held_by_owner: replies of commands that are not forwarded yet, as one before them waits for
+            the same server.
+        room_at_us: when an answer last made room for further commands.
         smoothed_reply_bytes: how large its replies are.
+        waiting_by_owner: the reply of the last forwarded command that waited, by server.
         command_count: commands that were forwarded.
     """
 
     __slots__ = (
         "command_count",
         "config",
+        "held_by_owner",
         "in_flight_by_slot",
         "reader",
         "replies",
+        "room_at_us",
         "session",
         "smoothed_reply_bytes",
+        "waiting_by_owner",
     )
 
     def __init__(
@@ -65,6 +73,9 @@
         self.reader = RespReader()
         self.replies: deque[Reply] = deque()
         self.in_flight_by_slot: dict[int, list[Reply]] = {}
+        self.held_by_owner: dict[str, deque[Reply]] = {}
+        self.waiting_by_owner: dict[str, Reply] = {}
+        self.room_at_us = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
         super().__init__(listener, sock)
@@ -89,6 +100,7 @@
         replies = list(self.replies)
         self.replies = deque()
         self.in_flight_by_slot = {}
+        self.held_by_owner = {}
         for reply in replies:
             reply.on_client_gone()
 
@@ -116,13 +128,9 @@
             ready.append(encoded)
             difference = len(encoded) - self.smoothed_reply_bytes
             self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
-        if not ready:
-            return
-        if self.conn.is_open:
+        self.room_at_us = self.listener.loop.now
+        if ready and self.conn.is_open:
             self.conn.send(b"".join(ready))
-            if self.listener.closes_after_response and not self.replies:
-                self.finish()
-                return
         may_go_on = self.conn.read_paused or not self.replies
         if self.conn.is_open and not self.conn.closing and may_go_on:
             self.listener.loop.call_soon(self.process_input)
@@ -136,6 +144,8 @@
             self.listener.loop.call_soon(self.forward_next, reply.slot)
         else:
             self.in_flight_by_slot.pop(reply.slot, None)
+        if self.held_by_owner:
+            self.listener.loop.call_soon(self.release_held)
 
     # --- commands
 
@@ -180,6 +190,8 @@
             self.finish()
         elif self.replies:
             return
+        elif self.listener.closes_after_response and not self.has_input():
+            self.finish()
         elif self.reader.unread_bytes():
             if self not in self.listener.awaiting_request:
                 self.listener.await_request(self)
@@ -188,6 +200,10 @@
             self.listener.idle[self] = None
             self.listener.trim_idle()
 
+    def has_input(self) -> bool:
+        """Whether a part of a command is here, or bytes are to be read."""
+        return bool(self.reader.unread_bytes()) or self.conn.has_unread_bytes()
+
     def check_write_buffer(self) -> None:
         """Goes on if the client has read what was written."""
         if self.conn.is_open and self.conn.read_paused:
@@ -277,18 +293,53 @@
         in_flight.append(reply)
         self.forward_if_allowed(in_flight, reply)
 
-    @staticmethod
-    def forward_if_allowed(in_flight: list[Reply], reply: Reply) -> None:
+    def forward_if_allowed(self, in_flight: list[Reply], reply: Reply) -> None:
         """Forwards a command, unless one before it for the same slot has to be answered first."""
         earlier = in_flight[: in_flight.index(reply)]
         all_are_reads = not reply.is_write and not any(other.is_write for other in earlier)
-        if reply.forward and (not earlier or all_are_reads):
-            forward = reply.forward
-            reply.forward = None
+        if reply.forward and not reply.is_held and (not earlier or all_are_reads):
+            self.forward_or_hold(reply)
+
+    def forward_or_hold(self, reply: Reply) -> None:
+        """Forwards a command unless one before it waits for the same server."""
+        owner = self.listener.handler.slot_owner(reply.slot)
+        held = self.held_by_owner.get(owner)
+        if held or self.has_waiting(owner):
+            reply.is_held = True
+            self.held_by_owner.setdefault(owner, deque()).append(reply)
+            return
+        forward = reply.forward
+        reply.forward = None
+        if forward:
             forward()
+        if reply.awaits_host:
+            self.waiting_by_owner[owner] = reply
+
+    def has_waiting(self, owner: str) -> bool:
+        """Whether a command that was forwarded waits for this server to have room."""
+        reply = self.waiting_by_owner.get(owner)
+        return reply is not None and reply.awaits_host
+
+    def release_held(self) -> None:
+        """Forwards the commands that nothing waits before any more."""
+        for owner in list(self.held_by_owner):
+            while self.conn.is_open and not self.has_waiting(owner):
+                held = self.held_by_owner.pop(owner, None)
+                if not held:
+                    break
+                reply = held.popleft()
+                reply.is_held = False
+                reply.turn_at_us = self.listener.loop.now
+                self.forward_or_hold(reply)
+                if held:
+                    self.held_by_owner.setdefault(owner, deque()).extend(held)
 
     def forward_next(self, slot: int) -> None:
         """Forwards what waits for a slot and may go now."""
+        now_us = self.listener.loop.now
+        for reply in self.in_flight_by_slot.get(slot, ()):
+            if reply.forward:
+                reply.turn_at_us = now_us
         for reply in list(self.in_flight_by_slot.get(slot, ())):
             if self.conn.is_open and reply in self.in_flight_by_slot.get(slot, ()):
                 self.forward_if_allowed(self.in_flight_by_slot[slot], reply)
--- a/tests/net/test_exchange.py
+++ b/tests/net/test_exchange.py
@@ -246,3 +246,22 @@
     net.advance(100_000)  # 0.8 s after its arrival, its objective is over
     assert "503" in received_or_reset(waiting)
     assert received_or_reset(first) is None
+
+
+def test_a_pipelined_request_has_its_objective_from_its_turn():
+    # What stood behind a slow request of its own client was denied as if it had been in the queue.
+    net = LoopbackHarness(0)
+    net.node.balancer.hosts["o"].concurrency_limit = 1.0
+    pipelining = net.connect_client(write_text("k1") + write_text("k2"))
+    net.turn()
+    others = [net.connect_client(write_text(key)) for key in ("k3", "k4")]
+    net.turn()
+    net.advance(600_000)
+    net.answer_from_host(net.next_host_request()[1])
+    net.advance(10_000)
+    assert received_or_reset(pipelining).startswith("HTTP/1.1 200")
+    net.advance(500_000)  # 1.1 s after its arrival, 0.5 s after its turn
+    assert received_or_reset(pipelining) is None
+    net.advance(400_000)  # 0.9 s after its turn
+    assert "503" in received_or_reset(pipelining)
+    assert [received_or_reset(other) for other in others] == [None, None]
