Who got no core is asked of the kernel, and excuses no more than it names

What was seen: "late" in fault tests beside load (404s held back 574 to 859 ms, an answer 53.6 ms after its time where 50 are allowed). That the processes got no core was an inference from little CPU time, which a stop or a slow disk leaves just as well.

Change: the second figure of schedstat, the time that a thread was ready and not run, stands in `turn late` as run_delay_ms, and is sampled for each process of a fault test at each look; the story of a breach tells it with the machine's steal. A late or held back answer is excused only where its balancer's own delay covers all that it was too late; the verdict counts that (`excused_by_run_delay`). Bounds stay; `lost` is excused by nothing.

Clients of a fault test that stood still themselves for 2 s between dialling and writing do not use that connection (change-stay-cut, the test stopped for up to 5 s: one request written on a connection that b2 had closed for silence).

--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import resource
 import signal
 import subprocess
@@ -26,6 +27,7 @@
 from orchidgap.fault_tests.process_logs import ProcessLogs
 from orchidgap.fault_tests.proposal_callers import ProposalCallers
 from orchidgap.fault_tests.rollout_checker import STUCK, RolloutChecker
+from orchidgap.fault_tests.scheduling_watch import TEST_ITSELF, SchedulingWatch
 from orchidgap.fault_tests.version_clients import VersionClients
 from orchidgap.net.addresses import Address, format_address
 from orchidgap.net.loop import LateTurn
@@ -91,6 +93,8 @@
         super().__init__(test.plan, seed, real=True, policy=policy, disk=disk or memory_folder())
         # reports that wait for the end of a process to be seen, the oldest first
         self.unreported: deque[Callable[[], None]] = deque()
+        self.scheduling = SchedulingWatch()
+        self.referee.run_delay_us = self.run_delay_us
         self.report_unanswered = self.referee.on_connection_lost
         setattr(self.referee, "on_connection_lost", self._on_unanswered)  # noqa: B010
         self.links = Links(self.loop, self.rng, self.port_offset, self._topology())
@@ -245,7 +249,8 @@
         """Note that this process stood still: hosts, clients and relays did, and no balancer."""
         text = (
             f"the fault test itself was {turn.late_us // 1000} ms late "
-            f"({turn.cpu_us // 1000} ms of CPU, its calls {turn.calls_us // 1000} ms)"
+            f"({turn.cpu_us // 1000} ms of CPU, its calls {turn.calls_us // 1000} ms, "
+            f"ready and not run {turn.run_delay_us // 1000} ms)"
         )
         self.referee.record_event(self.loop.now, text)
 
@@ -333,6 +338,7 @@
     def look(self) -> None:
         """Take note of processes and callers of control that have ended."""
         self.proposers.collect(self.loop.now)
+        self.scheduling.look(self._process_ids(), self.loop.now)
         for post in self.balancers.values():
             if isinstance(post, ClusterBalancer) and not post.is_shutting_down:
                 post.mark_if_ended()
@@ -341,6 +347,15 @@
         if self.controls:
             self.majority_watch.look(self._reaching_majority(), self.loop.now)
 
+    def _process_ids(self) -> dict[str, int]:
+        """Return the ids of all processes, this one included, by their names."""
+        ids = {name: self.process_of(name).pid for name in self.process_names()}
+        return ids | {TEST_ITSELF: os.getpid()}
+
+    def run_delay_us(self, balancer: str, since_us: int, until_us: int) -> int:
+        """Return how long a balancer was ready and got no core within a time."""
+        return self.scheduling.delay_us(balancer, since_us, until_us)
+
     def _reaching_majority(self) -> list[str]:
         """Return the running balancers that reach a majority of running control processes."""
         running = [control.name for control in self.controls if self._runs(control.name)]
--- a/orchidgap/fault_tests/commands.py
+++ b/orchidgap/fault_tests/commands.py
@@ -113,7 +113,8 @@
                 shutil.copytree(copied, out, dirs_exist_ok=True, symlinks=True)
             raise
         if verdict["verdict"] == "broken":
-            print(tell_breaches(cluster.referee, Path(copied)), file=sys.stderr)
+            story = tell_breaches(cluster.referee, Path(copied), cluster.scheduling.describe)
+            print(story, file=sys.stderr)
             if out is None and not defect:
                 out = Path(tempfile.mkdtemp(prefix=f"orchidgap-drill-{test.plan.name}-"))
         if out is not None:
--- a/orchidgap/net/event_log.py
+++ b/orchidgap/net/event_log.py
@@ -57,6 +57,7 @@
             calls_ms=turn.calls_us // 1000,
             window_ms=turn.window_us // 1000,
             cpu_ms=turn.cpu_us // 1000,
+            run_delay_ms=turn.run_delay_us // 1000,
             due=turn.callback,
         )
 
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -11,6 +11,8 @@
 from heapq import heappop, heappush
 from typing import Any
 
+from orchidgap.net.run_delay import run_delay_us
+
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 MAX_WAIT_US = 1_000_000
@@ -57,7 +59,8 @@
     """A turn that called a timer long after it was due.
 
     A turn that began late, with little processor time used in the window, belongs to a process that
-    was stopped, waited for a disk, or got no core. One whose own calls took long was busy.
+    got no core, if its run delay is as long; else it was stopped or waited for a disk. One whose
+    own calls took long was busy.
 
     Attributes:
         late_us: How long after it was due the timer was called.
@@ -65,6 +68,7 @@
         calls_us: How long the turn's calls for sockets took before the timer's.
         window_us: How long ago the processor time was looked at last.
         cpu_us: Processor time that the loop's thread has used since.
+        run_delay_us: How long it was ready since and did not run, by the kernel's count.
         callback: The name of what was due.
     """
 
@@ -73,6 +77,7 @@
     calls_us: int
     window_us: int
     cpu_us: int
+    run_delay_us: int
     callback: str
 
 
@@ -117,6 +122,7 @@
         self.on_late_turn: Callable[[LateTurn], None] | None = None
         self._cpu_sampled_at_us = self.now
         self._cpu_sample_us = thread_cpu_us()
+        self._run_delay_sample_us = run_delay_us()
 
     def watch(
         self,
@@ -205,12 +211,14 @@
                 calls_us=self.now - self.last_poll_us,
                 window_us=self.now - self._cpu_sampled_at_us,
                 cpu_us=thread_cpu_us() - self._cpu_sample_us,
+                run_delay_us=run_delay_us() - self._run_delay_sample_us,
                 callback=getattr(timer.callback, "__qualname__", repr(timer.callback)),
             )
             self.run_callback(on_late_turn, late_turn)
         if self.now - self._cpu_sampled_at_us >= CPU_SAMPLE_INTERVAL_US:
             self._cpu_sampled_at_us = self.now
             self._cpu_sample_us = thread_cpu_us()
+            self._run_delay_sample_us = run_delay_us()
 
     def run_callback(self, callback: Callable[..., None], *args: Any) -> None:
         """Make one call; where it fails, all others are still made."""
--- a/orchidgap/simulation/balancer_connection.py
+++ b/orchidgap/simulation/balancer_connection.py
@@ -18,6 +18,8 @@
 
 # after its client timeout, or the last byte of its answer, no more is waited for
 OVERDUE_US = 3_000_000
+# a connection that was dialled so long ago is not used for a first request
+MAX_UNUSED_US = 2_000_000
 PIECE_BYTES = 16_384  # of a large body that are written at once
 CLOSED = "closed"
 STATUS_UNKNOWN_CLASS = 404
@@ -126,8 +128,15 @@
         return self.conn.is_open and not self.conn.write_buffer and self.attempt is not None
 
     def opened(self) -> None:
-        """The connection has come up."""
-        if self.unsent_body:
+        """The connection has come up, and is used unless it has stood unused for long.
+
+        That is so where this process stood still: a balancer may have closed it for silence.
+        """
+        attempt = self.attempt
+        if attempt and self.clients.loop.clock() - attempt.write_started_us > MAX_UNUSED_US:
+            self.close()
+            self.clients.send_attempt(attempt, self.message, self.balancer, fresh=True)
+        elif self.unsent_body:
             self.send_more_body()
         elif self.attempt:
             self.on_request_written()
--- a/orchidgap/simulation/verdict.py
+++ b/orchidgap/simulation/verdict.py
@@ -77,6 +77,7 @@
         "denied": checker.rejected,
         "aborted": checker.answered_failed + checker.truncated + checker.cut_while_written,
         "truncated": checker.truncated,
+        "excused_by_run_delay": checker.excused_by_run_delay,
         "cut_while_written": checker.cut_while_written,
         "bad": checker.bad_requests,
         "bad_served": checker.bad_served,
--- /dev/null
+++ b/tests/fault_tests/test_scheduling_watch.py
@@ -0,0 +1,54 @@
+"""Which processes got no core, and how much lateness that excuses: a late answer is no one else's fault."""
+
+import os
+
+import pytest
+
+from orchidgap.fault_tests.scheduling_watch import DelaySamples, SchedulingWatch
+from orchidgap.simulation.invariant_checker import InvariantChecker
+from orchidgap.simulation.observations import ClientAttempt, Operation
+from orchidgap.simulation.plan_file import validate_plan
+
+
+def test_a_delay_is_told_for_the_time_asked_and_no_longer():
+    samples = DelaySamples([0, 100, 200, 300], [0, 0, 80, 80])
+    assert samples.between(100, 200) == 80
+    assert samples.between(150, 190) == 40
+    assert samples.between(200, 300) == 0
+    assert samples.between(250, 900) == 0
+    assert DelaySamples().between(0, 100) == 0
+
+
+def test_a_process_that_was_started_anew_is_counted_by_itself():
+    watch = SchedulingWatch()
+    watch.look({"b0": os.getpid()}, 1_000)
+    watch.look({"b0": os.getppid()}, 2_000)
+    watch.look({"b0": os.getppid()}, 3_000)
+    assert [process_id for process_id, _ in watch.samples["b0"]] == [os.getpid(), os.getppid()]
+    assert 0 <= watch.delay_us("b0", 0, 3_000) <= 3_000
+    assert watch.delay_us("none", 0, 3_000) == 0
+    assert watch.describe(0, 3_000).startswith("ready and not run, ms: b0 ")
+
+
+def checker_of_answer(delay_us, status, at_us):
+    plan = validate_plan({"name": "j"})
+    checker = InvariantChecker(plan, 0, slack=50_000)
+    checker.run_delay_us = lambda balancer, since, until: delay_us
+    operation = Operation(0, plan.request_classes()[0], "north", 1, 1, 0)
+    attempt = ClientAttempt(b"q1", operation, "b0", 1, 0, 1_500_000)
+    checker.on_client_attempt(attempt)
+    checker.on_answer(attempt, status, b"", at_us)
+    checker.judge_failed_answers()
+    return checker
+
+
+@pytest.mark.parametrize(
+    ("delay_us", "late", "excused"),
+    [(0, 2, 0), (140_000, 2, 0), (150_000, 1, 1), (2_000_000, 0, 2)],
+)
+def test_lateness_is_excused_by_the_kernels_word_and_for_the_time_that_it_names(
+    delay_us, late, excused
+):
+    # 150 ms too late beyond the slack, and held back for longer than that
+    checker = checker_of_answer(delay_us, 500, 1_700_000)
+    assert (checker.breach_counts["late"], checker.excused_by_run_delay) == (late, excused)
