--- a/orchidgap/simulation/baselines.py
+++ b/orchidgap/simulation/baselines.py
@@ -298,12 +298,14 @@
     def completion_us(self, host_id: str, cost_us: int) -> float:
         """Return the microseconds until work of that cost would be done at a host."""
         server = self.environment.servers[host_id]
-        if not server.alive or server.vanished or server.draining or server.spoilt:
+        if not server.alive or server.vanished or server.draining or server.spoilt_ratio:
             return NEVER_US
         running_us = sum(job.ends_at_us - self.now for job in server.running)
-        waiting_us = sum(job.cost / (server.speed * server.warm_ratio()) for job in server.waiting)
+        waiting_us = sum(
+            job.work_us / (server.speed * server.warm_ratio()) for job in server.waiting
+        )
         queued_us = running_us + waiting_us
-        frozen_us = max(0, server.frozen_until - self.now)
+        frozen_us = max(0, server.frozen_until_us - self.now)
         alone_us = cost_us * server.slowdown / (server.speed * server.warm_ratio())
         return float(frozen_us + queued_us / server.model.cores + alone_us)
 
--- a/tests/simulation/planted.py
+++ b/tests/simulation/planted.py
@@ -108,7 +108,7 @@
     def has_capacity(self, host):
         return True
 
-    def record_latency(self, host, latency_us):
+    def record_latency(self, host, latency_us, is_answer=True):
         host.concurrency_limit = 1e9
 
     def decrease_limit(self, host, ratio):
