--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -94,7 +94,7 @@
         # reports that wait for the end of a process to be seen, the oldest first
         self.unreported: deque[Callable[[], None]] = deque()
         self.scheduling = SchedulingWatch()
-        self.referee.run_delay_us = self.run_delay_us
+        self.referee.lateness.run_delay_us = self.run_delay_us
         self.report_unanswered = self.referee.on_connection_lost
         setattr(self.referee, "on_connection_lost", self._on_unanswered)  # noqa: B010
         self.links = Links(self.loop, self.rng, self.port_offset, self._topology())
--- /dev/null
+++ b/orchidgap/simulation/lateness.py
@@ -0,0 +1,133 @@
+"""Judges whether answers came in time: within the client timeout, and at once when given up."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from orchidgap.simulation.observations import ClientAttempt
+from orchidgap.simulation.plan import Plan, milliseconds_to_us
+
+# a rejection so long after the last that could be awaited was held back
+HELD_BACK_US = 60_000
+LATE = "late"
+
+RecordBreach = Callable[[str, int, str], None]
+"""Is told the rule, the time in microseconds and what was seen."""
+
+
+class FailedAnswer(NamedTuple):
+    """A final answer other than 200, as its client saw it.
+
+    Attributes:
+        attempt: Of which client.
+        status: What it was answered.
+        at_us: When the answer's last byte came.
+        who: The client and its balancer, for a breach's text.
+        host_was_silent: Some host said nothing then, so that what is in flight there is not seen.
+    """
+
+    attempt: ClientAttempt
+    status: int
+    at_us: int
+    who: str
+    host_was_silent: bool
+
+
+class LateAnswer(NamedTuple):
+    """An answer that came later than its client waited, as its client saw it.
+
+    Attributes:
+        attempt: Of which client.
+        at_us: When the answer's last byte came.
+        deadline_us: Until when the client waited.
+        who: The client and its balancer, for a breach's text.
+    """
+
+    attempt: ClientAttempt
+    at_us: int
+    deadline_us: int
+    who: str
+
+
+class LatenessJudge:
+    """Judges at once on the virtual clock; on real sockets once all that was seen has been read.
+
+    Attributes:
+        run_delay_us: Returns how long a balancer was ready and got no core between two times, by
+            the kernel's count.
+        excused_by_run_delay: Answers that were too late by no more than that.
+    """
+
+    def __init__(self, plan: Plan, tolerance_us: int, record_breach: RecordBreach) -> None:
+        """Judge by the plan's limits, each longer by the tolerance, 0 on the virtual clock."""
+        connect_timeout_us = milliseconds_to_us(plan.network.connect_timeout_ms)
+        self.max_connect_us = plan.limits.max_attempts * connect_timeout_us + HELD_BACK_US
+        self.tolerance_us = tolerance_us
+        self.record_breach = record_breach
+        self.run_delay_us: Callable[[str, int, int], int] = lambda balancer, since, until: 0
+        self.excused_by_run_delay = 0
+        self._late_answers: list[LateAnswer] = []
+        self._failed_answers: list[FailedAnswer] = []
+
+    def on_late(self, late: LateAnswer) -> None:
+        """An answer came after its client timeout and the tolerance."""
+        if self.tolerance_us:
+            self._late_answers.append(late)
+        else:
+            self._judge_late(late)
+
+    def on_failed(self, failed: FailedAnswer) -> None:
+        """A request was given up; a host may have yet to read the attempt that it waited for."""
+        if self.tolerance_us:
+            self._failed_answers.append(failed)
+        else:
+            self._judge_waiting(failed)
+
+    def judge_all(self) -> None:
+        """Judge what could only be judged with all attempts known; called at the end."""
+        late_answers = self._late_answers
+        self._late_answers = []
+        for late in late_answers:
+            self._judge_late(late)
+        failed_answers = self._failed_answers
+        self._failed_answers = []
+        for failed in failed_answers:
+            self._judge_waiting(failed)
+
+    def _judge_late(self, late: LateAnswer) -> None:
+        """An answer that came after its client timeout, and by how much."""
+        late_us = late.at_us - late.deadline_us
+        if self._got_no_core(late.attempt, late.at_us, late_us - self.tolerance_us):
+            return
+        text = f"{late.who}: answered {late_us / 1e3:.1f} ms after its client timeout"
+        self.record_breach(LATE, late.at_us, text)
+
+    def _judge_waiting(self, failed: FailedAnswer) -> None:
+        """A request that was given up is answered at once.
+
+        An attempt that ended after the answer was in flight when it was given.
+        """
+        attempt = failed.attempt
+        objective_us = milliseconds_to_us(attempt.operation.request_class.latency_objective_ms)
+        idle_since_us = max(attempt.last_attempt_ended_us, attempt.arrived_at_us + objective_us)
+        waited_us = failed.at_us - idle_since_us
+        allowed_us = self.max_connect_us + self.tolerance_us
+        in_flight = any(sent.in_flight for sent in attempt.host_attempts)
+        if in_flight or waited_us <= allowed_us or failed.host_was_silent:
+            return
+        if self._got_no_core(attempt, failed.at_us, waited_us - allowed_us):
+            return
+        held_ms = waited_us / 1e3
+        text = f"{failed.who}: given up, and {failed.status} held back for {held_ms:.0f} ms"
+        self.record_breach(LATE, failed.at_us, text)
+
+    def _got_no_core(self, attempt: ClientAttempt, until_us: int, excess_us: int) -> bool:
+        """Return whether its balancer was ready and not run for all that an answer was too late.
+
+        That is the kernel's word, and excuses no more than the time that it names.
+        """
+        delay_us = self.run_delay_us(attempt.balancer, attempt.arrived_at_us, until_us)
+        is_excused = delay_us >= excess_us
+        self.excused_by_run_delay += is_excused
+        return is_excused
