--- a/orchidgap/simulation/balancer_connection.py
+++ b/orchidgap/simulation/balancer_connection.py
@@ -3,19 +3,19 @@
 from __future__ import annotations
 
 import socket
-from typing import TYPE_CHECKING
+from random import Random
+from typing import Protocol
 
 from orchidgap.http1.messages import Message
 from orchidgap.http1.readers import ResponseReader
 from orchidgap.http1.writers import parse_seconds
 from orchidgap.net.connection import Connection
+from orchidgap.net.loop import Loop
+from orchidgap.simulation.environment import Environment
 from orchidgap.simulation.observations import LARGE_BODY_BYTES, ClientAttempt
-from orchidgap.simulation.plan import milliseconds_to_us
+from orchidgap.simulation.plan import Plan, milliseconds_to_us
 from orchidgap.simulation.request_end import ConnectionEndFacts, RequestEnd, judge_end
 
-if TYPE_CHECKING:
-    from orchidgap.simulation.clients import Clients
-
 # after its client timeout, or the last byte of its answer, no more is waited for
 OVERDUE_US = 3_000_000
 # a connection that was dialled so long ago is not used for a first request
@@ -26,6 +26,34 @@
 STATUS_FAILED = 500
 
 
+class ConnectionOwner(Protocol):
+    """The clients, as far as their connections use them."""
+
+    environment: Environment
+    plan: Plan
+    loop: Loop
+    rng: Random
+    idle: dict[str, list[BalancerConnection]]
+    connections: dict[str, dict[BalancerConnection, None]]
+
+    def send_attempt(
+        self, attempt: ClientAttempt, message: tuple[bytes, ...], balancer: str, fresh: bool = False
+    ) -> None:
+        """Send a request on an idle connection or, with `fresh` always, on a new one."""
+
+    def on_outcome(self, attempt: ClientAttempt, status: int, retry_after_us: int) -> None:
+        """An attempt has ended, with this answer, or with none for 0."""
+
+    def on_refused(self, attempt: ClientAttempt, balancer: str) -> None:
+        """Nothing was accepted."""
+
+    def on_unknown_class(self, attempt: ClientAttempt) -> None:
+        """Its balancer does not know its class."""
+
+    def on_overdue(self, connection: BalancerConnection, attempt: ClientAttempt) -> None:
+        """An answer is waited for no longer."""
+
+
 class BalancerConnection:
     """One connection; it carries one request at a time.
 
@@ -58,7 +86,9 @@
         "was_closed_at_write",
     )
 
-    def __init__(self, clients: Clients, balancer: str, sock: socket.socket, opening: bool) -> None:
+    def __init__(
+        self, clients: ConnectionOwner, balancer: str, sock: socket.socket, opening: bool
+    ) -> None:
         """Take a socket that is connected, or is on its way."""
         self.clients = clients
         self.balancer = balancer
--- a/orchidgap/simulation/invariant_checker.py
+++ b/orchidgap/simulation/invariant_checker.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from hashlib import blake2b
 from typing import Any
 
@@ -76,6 +77,9 @@
         self.bad_served = 0
         self.bad_ignored = 0
         self.rejected = 0
+        # of these, while hosts of each kind had a core to spare
+        self.rejected_with_room = 0
+        self.hosts_have_room: Callable[[], bool] = lambda: False
         self.answered_failed = 0  # with neither 200 nor a refusal
         self.truncated = 0  # answers that were cut off, as their clients could tell
         self.cut_while_written = 0  # requests whose connection ended before their last byte
@@ -156,6 +160,7 @@
         """A rejection has to be harmless to retry, and none may be held back."""
         if status in (429, 503):
             self.rejected += 1
+            self.rejected_with_room += self.hosts_have_room()
             self._judge_rejection(attempt, at_us, who)
         else:
             self.answered_failed += 1
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -88,6 +88,7 @@
         self.folder = tempfile.TemporaryDirectory(dir=disk) if real else None
         self.start = self.loop.now + (LOOPBACK_LEAD_US if real else 0)
         self.referee = InvariantChecker(plan, self.start, LOOPBACK_SLACK_US if real else 0)
+        self.referee.hosts_have_room = self.hosts_have_room
         self.deduplication_scope = most_common_scope(plan)
         self.servers: dict[str, Store] = {}
         self.cluster = Cluster()
@@ -264,6 +265,16 @@
         """Draw how long a connection from a balancer to a host takes to come up."""
         return 2 * self.one_way_us(self.zone_of(balancer), self.zone_by_address.get(address, 0))
 
+    def hosts_have_room(self) -> bool:
+        """Return whether caches and origins have a core to spare, of those that answer."""
+        has_room = {False: False, True: False}
+        for server in self.servers.values():
+            answers = server.alive and not server.vanished and not server.draining
+            if answers and len(server.running) < server.model.cores:
+                has_room[server.is_origin] = True
+        has_origins = any(server.is_origin for server in self.servers.values())
+        return has_room[False] and (has_room[True] or not has_origins)
+
     def value_size_bytes(self, key: int) -> int:
         """Return the size of a key's value: most are small, one in sixteen is large."""
         return value_size_bytes(self.plan, key)
--- a/orchidgap/simulation/verdict.py
+++ b/orchidgap/simulation/verdict.py
@@ -75,6 +75,7 @@
         **_work_figures(checker, operations),
         **_latency_figures(checker),
         "denied": checker.rejected,
+        "denied_with_room": checker.rejected_with_room,
         "aborted": checker.answered_failed + checker.truncated + checker.cut_while_written,
         "truncated": checker.truncated,
         "excused_by_run_delay": checker.lateness.excused_by_run_delay,
--- a/tests/simulation/test_virtual_network.py
+++ b/tests/simulation/test_virtual_network.py
@@ -347,3 +347,18 @@
         assert parse_seconds(b"1") == 1_000_000
     finally:
         simulation.close()
+
+
+def test_denials_are_counted_apart_where_hosts_had_room():
+    """A verdict of kept with a third of all denied told nothing of whether hosts were full then."""
+    work = {"name": "view", "share": 1, "work-ms": 200, "target-ms": 300, "timeout-ms": 1000}
+    full = SMALL | {"rate": 120, "work": [work], "keys": {"count": 4000, "zipf": 0.1}}
+    verdict, _ = play(validate_plan(full | {"cache": {"keys": 1}, "origin": {"cores": 1}}))
+    assert verdict["denied"] > 50 > verdict["denied_with_room"] * 5
+    simulation = Simulation(validate_plan(SMALL))
+    try:
+        assert simulation.hosts_have_room()
+        simulation.servers["o0"].stop()
+        assert not simulation.hosts_have_room()
+    finally:
+        simulation.close()
