--- a/tests/known_failures.py
+++ b/tests/known_failures.py
@@ -44,6 +44,14 @@
             raise pytest.UsageError(f"{LIST_NAME}: no test {node_id}")
 
 
+@pytest.hookimpl(optionalhook=True)
+def pytest_handlecrashitem(crashitem, report, sched):
+    """A test that ends its worker, as one does that takes too long, is judged like any other."""
+    if crashitem in sched.config.known_failures:
+        report.outcome = "skipped"
+        report.wasxfail = f"reason: {REASON}"
+
+
 def pytest_terminal_summary(terminalreporter):
     for outcome, word in (("xfailed", "failed"), ("xpassed", "passed")):
         for report in terminalreporter.stats.get(outcome, ()):
--- a/tests/test_known_failures.py
+++ b/tests/test_known_failures.py
@@ -16,6 +16,11 @@
 @pytest.mark.parametrize("what", ["a b", "c"])
 def test_each(what): assert what == "c"
 """
+ENDS_ITS_WORKER = """
+def test_ends_its_worker():
+    import os
+    os._exit(1)
+"""
 LISTED = "tests/test_x.py::test_listed\n  what was seen\ntests/test_x.py::test_listed_and_well\n"
 EACH = "tests/test_x.py::test_each[a b]\n"
 
@@ -60,6 +65,15 @@
     assert f"no test {name}" in text
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_a_test_that_ends_its_worker_is_passed_over_where_it_is_listed(run, is_listed):
+    name = "tests/test_x.py::test_ends_its_worker\n"
+    listed = LISTED + EACH + (name if is_listed else "")
+    code, text = run(listed, "True" + ENDS_ITS_WORKER, "-n", "2")
+    assert code == (0 if is_listed else 1)
+    assert ("failed: " + name in text) is is_listed
+
+
 def test_the_list_holds_for_workers_and_for_one_test_by_its_name(run):
     assert run(LISTED + EACH, "True", "-n", "2")[0] == 0
     assert run(LISTED + EACH, "True", "tests/test_x.py::test_listed")[0] == 0
