Simulation: the front, operators' calls and their faults are a module each

Cause: operations.py held the front before the balancers, the calls at the admin address, five faults and a list of unusable files, in words of its own, with no units, and was off the linter's checks.

Change: front, admin_calls, operator_faults and unusable_settings; a silent caller is a class of its own in place of a call with an empty name; how many attempts a request may have while new settings come in is asked of AttemptLimit; a balancer that is restarted gets its list from where all others get it. Words of plans and texts of breaches stay.

--- a/orchidgap/simulation/balancer_faults.py
+++ b/orchidgap/simulation/balancer_faults.py
@@ -25,10 +25,7 @@
     """It starts anew under its name, with nothing but the list it last had."""
     post = environment.balancers[name]
     if not post.alive:
-        seq, hosts = environment.discovery.agents[name].latest
-        if not hosts:
-            _, hosts = environment.discovery.changes_since(None, seq)
-        post.start({"seq": seq, "whole": True, "hosts": hosts})
+        post.start(environment.latest_endpoint_list(name))
 
 
 def balancer_roll(environment: Environment, fault: Fault) -> None:
--- a/orchidgap/simulation/balancer_instance.py
+++ b/orchidgap/simulation/balancer_instance.py
@@ -299,7 +299,7 @@
 
     def start_admin(self, loop: BalancerLoop, node: Node) -> None:
         """Open the admin address, where the plan has operators call it."""
-        if self.environment.front.on:
+        if self.environment.front.is_active:
             commands = {
                 admin_protocol.HEALTH: node.health,
                 admin_protocol.DRAIN: node.drain,
--- a/orchidgap/simulation/clients.py
+++ b/orchidgap/simulation/clients.py
@@ -186,11 +186,11 @@
         notice_us = seconds_to_us(settings.failover_delay_s)
         front = self.environment.front
         candidates = self.environment.accepting_balancers(notice_us, self.loop.now)
-        if excluded or front.no_since:
+        if excluded or front.not_ready_since_us:
             candidates = [
                 name
                 for name in candidates
-                if name != excluded and (not front.closed(name) or self.idle[name])
+                if name != excluded and (not front.is_closed(name) or self.idle[name])
             ]
         if settings.own_zone_ratio and self.rng.random() < settings.own_zone_ratio:
             zone = key % self.plan.cache.zones
@@ -262,7 +262,7 @@
                 self.departures.draw_close(attempt, connection)
                 return
             connection.close()
-        if environment.front.closed(balancer) and not fresh:
+        if environment.front.is_closed(balancer) and not fresh:
             self.on_refused(attempt, balancer)
             return
         sock = environment.network.dial(environment.address_of(balancer))
--- a/orchidgap/simulation/environment.py
+++ b/orchidgap/simulation/environment.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from orchidgap.simulation.balancer_instance import BalancerInstance
 
+SETTINGS_IN_FORCE_AFTER_US = 1_200_000  # new ones, after SIGHUP
+
 # Makes what decides, of (settings, port, seed, now in us); it has the methods of `Balancer`.
 Decider = Callable[..., Any]
 
@@ -31,6 +33,14 @@
     changed_at_us: int
     previous: int
 
+    def for_request(self, arrived_at_us: int) -> int:
+        """Return how many a request may have; the larger number while new settings come in."""
+        if arrived_at_us > self.changed_at_us + SETTINGS_IN_FORCE_AFTER_US:
+            return self.current
+        if arrived_at_us > self.changed_at_us:
+            return max(self.current, self.previous)
+        return self.previous
+
 
 class Environment(Protocol):
     """The parts of a run, and what they ask about each other.
--- a/orchidgap/simulation/faults.py
+++ b/orchidgap/simulation/faults.py
@@ -17,7 +17,7 @@
     traffic_faults,
 )
 from orchidgap.simulation.fault_targets import pick_balancers
-from orchidgap.simulation.operations import OPS_ACTS
+from orchidgap.simulation.operator_faults import OPERATOR_FAULTS
 from orchidgap.simulation.plan import Fault
 from orchidgap.simulation.resp_cluster import failover, pointing, reshuffle
 
@@ -61,7 +61,7 @@
     """Record the fault among the run's events and set it off."""
     description = f"{fault.kind} {fault.target} {fault.target_ratio:g} {fault.magnitude:g}"
     environment.referee.record_event(environment.loop.now, " ".join(description.split()))
-    if fault.kind in OPS_ACTS:
-        OPS_ACTS[fault.kind](environment, fault, pick_balancers(environment, fault))
+    if fault.kind in OPERATOR_FAULTS:
+        OPERATOR_FAULTS[fault.kind](environment, fault, pick_balancers(environment, fault))
     else:
         FAULTS[fault.kind](environment, fault)
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -22,6 +22,7 @@
 from orchidgap.simulation.clients import Clients
 from orchidgap.simulation.discovery_server import DiscoveryAgent, DiscoveryServer
 from orchidgap.simulation.environment import AttemptLimit, Decider
+from orchidgap.simulation.front import Front
 from orchidgap.simulation.garbage_collection import rare_collections
 from orchidgap.simulation.invariant_checker import (
     LOST_AFTER_US,
@@ -30,7 +31,6 @@
 )
 from orchidgap.simulation.load_evenness import PhaseRecorder
 from orchidgap.simulation.loopback_network import LoopbackNetwork
-from orchidgap.simulation.operations import BINDS_AFTER, Front
 from orchidgap.simulation.plan import Plan, RequestClassSpec, milliseconds_to_us, seconds_to_us
 from orchidgap.simulation.rejection_judge import excessive_rejections, is_calm
 from orchidgap.simulation.request_end import CloseRecord, ProcessEnd
@@ -171,7 +171,7 @@
         if plan.gossip and self.policy == "orchidgap":
             document["pool"] = self.gossip_settings(balancer)
         document |= balancer_settings.process_document(
-            plan, balancer, self.seed, known, self.front.on
+            plan, balancer, self.seed, known, self.front.is_active
         )
         works = [work for work in plan.request_classes() if self.is_rule_set_listed(work)]
         document["settings"] = balancer_settings.settings_document(
@@ -200,12 +200,7 @@
 
     def max_attempts_at(self, came: int) -> int:
         """Return how many attempts a request may have; the larger while new settings come in."""
-        limit = self.attempt_limit
-        if came > limit.changed_at_us + BINDS_AFTER:
-            return limit.current
-        if came > limit.changed_at_us:
-            return max(limit.current, limit.previous)
-        return limit.previous
+        return self.attempt_limit.for_request(came)
 
     def send_datagram(self, address: Address, data: bytes) -> None:
         """Carry a datagram from one balancer to another, or lose it."""
--- a/tests/simulation/test_operations.py
+++ b/tests/simulation/test_operator_faults.py
@@ -4,7 +4,7 @@
 
 from orchidgap.simulation.invariant_checker import InvariantChecker
 from orchidgap.simulation.observations import ClientAttempt, Operation
-from orchidgap.simulation.operations import empty
+from orchidgap.simulation.operator_faults import check_drained
 from orchidgap.simulation.plan import Plan
 
 NOW_US = 10_000_000
@@ -19,7 +19,7 @@
     connection = SimpleNamespace(attempt=attempt)
     clients = SimpleNamespace(open_connections=lambda name: [connection])
     environment = SimpleNamespace(
-        referee=referee, front=SimpleNamespace(no_since={"b0": 0}), clients=clients
+        referee=referee, front=SimpleNamespace(not_ready_since_us={"b0": 0}), clients=clients
     )
-    empty(environment, "b0", NOW_US)
+    check_drained(environment, "b0", NOW_US)
     assert [text for _, _, text in referee.breaches] == ["b0: was told to drain, and holds q1"]
