Lateness judge: one list of deferred judgements

Three lists and three loops kept what is judged once a run on real sockets has been read. One list of calls does; what was seen is judged in the order in which it came, and no longer by kind.

--- a/orchidgap/simulation/lateness.py
+++ b/orchidgap/simulation/lateness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from orchidgap.simulation.observations import ClientAttempt
@@ -84,47 +85,34 @@
         self.record_breach = record_breach
         self.run_delay_us: Callable[[str, int, int], int] = lambda balancer, since, until: 0
         self.excused_by_run_delay = 0
-        self._late_answers: list[LateAnswer] = []
-        self._failed_answers: list[FailedAnswer] = []
-        self._told_times: list[ToldTime] = []
+        self._deferred: list[Callable[[], None]] = []  # judgements, until the end
 
     def on_told_time(self, told: ToldTime) -> None:
         """An attempt told its host how long its balancer waits: at most what its client does."""
-        if self._overstated_us(told) <= 0:
-            return
-        if self.tolerance_us:
-            self._told_times.append(told)
-        else:
-            self._judge_told_time(told)
+        if self._overstated_us(told) > 0:
+            self._judge(partial(self._judge_told_time, told))
 
     def on_late(self, late: LateAnswer) -> None:
         """An answer came after its client timeout and the tolerance."""
-        if self.tolerance_us:
-            self._late_answers.append(late)
-        else:
-            self._judge_late(late)
+        self._judge(partial(self._judge_late, late))
 
     def on_failed(self, failed: FailedAnswer) -> None:
         """A request was given up; a host may have yet to read the attempt that it waited for."""
-        if self.tolerance_us:
-            self._failed_answers.append(failed)
-        else:
-            self._judge_waiting(failed)
+        self._judge(partial(self._judge_waiting, failed))
 
     def judge_all(self) -> None:
         """Judge what could only be judged with all attempts known; called at the end."""
-        late_answers = self._late_answers
-        self._late_answers = []
-        for late in late_answers:
-            self._judge_late(late)
-        failed_answers = self._failed_answers
-        self._failed_answers = []
-        for failed in failed_answers:
-            self._judge_waiting(failed)
-        told_times = self._told_times
-        self._told_times = []
-        for told in told_times:
-            self._judge_told_time(told)
+        deferred = self._deferred
+        self._deferred = []
+        for judge in deferred:
+            judge()
+
+    def _judge(self, judge: Callable[[], None]) -> None:
+        """Judge at once, or at the end where not all may have been read yet."""
+        if self.tolerance_us:
+            self._deferred.append(judge)
+        else:
+            judge()
 
     def _overstated_us(self, told: ToldTime) -> int:
         left_us = max(0, told.attempt.deadline_us - told.at_us)
