--- a/tests/held_up_turn.py
+++ b/tests/held_up_turn.py
@@ -108,3 +108,31 @@
     lines = text.split("\r\n")
     field = next(line for line in lines if line.startswith("Request-Timeout"))
     return round(float(field.split(": ")[1]) * 1e6)
+
+
+class HeldUpScene:
+    """A node, `net`, before a turn in which it will send; `clients` wait for an answer."""
+
+    def run_held_up_turn(self, monkeypatch, moment, meanwhile=lambda net: None):
+        """The held-up turn, which may wait as long as any, and those that follow."""
+        hold_up(self.net, monkeypatch, moment, HELD_UP_US, meanwhile)
+        self.net.loop.run_once()
+        self.net.turn()
+
+    def run_two_held_up_turns(self, monkeypatch, moment, meanwhile):
+        """A held-up turn that postpones what it has to send, and one that is held up before it is sent."""
+        hold_up(self.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
+        self.net.loop.run_once()
+        assert self.net.loop.postponed
+        self.run_held_up_turn(monkeypatch, BEFORE_CALLBACKS, meanwhile)
+
+    def departure_of_clients(self):
+        """Have all clients close, as far as the kernel knows, while a turn is held up."""
+        nears = [self.net.accepted_socket(client) for client in self.clients]
+
+        def leave(net):
+            for client in self.clients:
+                client.close()
+            wait_until_readable(*nears)
+
+        return leave
--- a/tests/net/test_held_up_turns.py
+++ b/tests/net/test_held_up_turns.py
@@ -10,8 +10,8 @@
     BEFORE_WRITE,
     HELD_UP_US,
     SELECTOR_ANSWERED,
+    HeldUpScene,
     bring_changes,
-    hold_up,
     told_us,
 )
 from loopback_harness import (
@@ -35,7 +35,7 @@
 BEFORE_SENT = (*BEFORE_OPENED, BEFORE_DECISION, BEFORE_WRITE)
 
 
-class Scene:
+class Scene(HeldUpScene):
     """A node before a turn in which an attempt will begin, at the host of this number."""
 
     def __init__(self, number):
@@ -74,11 +74,6 @@
         sent = [received_text(far) or "" for port, far in self.net.dialled if port == self.port]
         return "".join(sent)
 
-    def turn(self):
-        """The held-up turn, which may wait as long as any, and those that follow."""
-        self.net.loop.run_once()
-        self.net.turn()
-
 
 def is_read(left="2.0"):
     """A request is there; it goes on over a connection that rests."""
@@ -170,8 +165,7 @@
 ):
     # The tests below would prove nothing where the attempt went elsewhere all along.
     scene = make_scene()
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     assert scene.begun()
 
 
@@ -183,8 +177,7 @@
     # A soak's balancer that had been stopped sent to a host that it had been told was draining.
     scene = make_scene()
     entry = scene.net.host_entry(scene.number, health)
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: bring_changes(net, entry))
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment, lambda net: bring_changes(net, entry))
     assert scene.begun() == []
 
 
@@ -195,13 +188,8 @@
 def test_a_host_that_drains_in_a_second_hold_up_is_sent_nothing(make_scene, moment, monkeypatch):
     # What waited for the next turn was sent in that one, though it was held up too.
     scene = make_scene()
-    net = scene.net
-    entry = net.host_entry(scene.number, "Terminating")
-    hold_up(net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    net.loop.run_once()
-    assert net.loop.postponed
-    hold_up(net, monkeypatch, BEFORE_CALLBACKS, HELD_UP_US, lambda net: bring_changes(net, entry))
-    scene.turn()
+    entry = scene.net.host_entry(scene.number, "Terminating")
+    scene.run_two_held_up_turns(monkeypatch, moment, lambda net: bring_changes(net, entry))
     assert scene.begun() == []
 
 
@@ -212,8 +200,7 @@
     known = scene.net.host_entry(ORIGIN)
     drains = scene.net.host_entry(0, "Terminating")
     entries = [known] * (2 * READ_BUFFER_BYTES // len(str(known))) + [drains]
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: bring_changes(net, *entries))
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment, lambda net: bring_changes(net, *entries))
     assert scene.begun() == []
 
 
@@ -221,8 +208,7 @@
 def test_a_host_is_told_no_more_than_is_left_once_the_turn_goes_on(make_scene, moment, monkeypatch):
     # A host was told more than was left to its client, by as long as the turn was held up.
     scene = make_scene("2.0")
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     told = [told_us(text) for text in scene.begun()]
     assert told
     waited_us = scene.net.now - scene.asked_at_us
@@ -242,8 +228,7 @@
         f"Request-Timeout: {left}\r\nContent-Length: {4 * MAX_BUFFERED_BODY_BYTES}\r\n\r\n"
     )
     scene.net.send_more(scene.client, head.encode() + bytes(MAX_BUFFERED_BODY_BYTES))
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     assert f"Request-Timeout: {left}" in scene.begun_writes()
 
 
@@ -253,8 +238,7 @@
 ):
     # The clock of the turn said that there was time left.
     scene = make_scene("0.750" if make_scene is is_late else "0.250")
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     assert scene.begun() == []
 
 
@@ -264,13 +248,5 @@
 ):
     # The turn knows nothing of the client's end, which the kernel has.
     scene = make_scene()
-    nears = {client: scene.net.accepted_socket(client) for client in scene.clients}
-
-    def leave(net):
-        for client in scene.clients:
-            client.close()
-        wait_until_readable(*nears.values())
-
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, leave)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment, scene.departure_of_clients())
     assert scene.begun() == []
--- a/tests/resp/test_held_up_commands.py
+++ b/tests/resp/test_held_up_commands.py
@@ -11,8 +11,8 @@
     BEFORE_WRITE,
     HELD_UP_US,
     SELECTOR_ANSWERED,
+    HeldUpScene,
     bring_changes,
-    hold_up,
 )
 from loopback_harness import LoopbackHarness, received_text, wait_until_readable
 from net_scenarios import discovery_socket, tell_list
@@ -88,7 +88,7 @@
     )
 
 
-class Scene:
+class Scene(HeldUpScene):
     """A node before a turn in which a command will be sent to the server of this number."""
 
     def __init__(self, number, timeout_ms):
@@ -112,11 +112,6 @@
         """What the server was asked and has not been looked at."""
         return [text for text, _ in self.net.commands(self.port)]
 
-    def turn(self):
-        """The held-up turn, which may wait as long as any, and those that follow."""
-        self.net.loop.run_once()
-        self.net.turn()
-
 
 def is_read(timeout_ms=LONG_TIMEOUT_MS):
     """A command is there; it goes on over a connection that rests."""
@@ -183,8 +178,7 @@
 ):
     # The tests below would prove nothing where the command went elsewhere all along.
     scene = make_scene()
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     assert scene.begun()
 
 
@@ -196,8 +190,7 @@
     # A process that had stood still sent commands to servers that had been draining for long.
     scene = make_scene()
     entry = scene.net.host_entry(scene.number, health)
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: bring_changes(net, entry))
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment, lambda net: bring_changes(net, entry))
     assert scene.begun() == []
 
 
@@ -208,13 +201,8 @@
 def test_a_server_that_drains_in_a_second_hold_up_is_sent_nothing(make_scene, moment, monkeypatch):
     # What waited for the next turn was sent in that one, though it was held up too.
     scene = make_scene()
-    net = scene.net
-    entry = net.host_entry(scene.number, "Terminating")
-    hold_up(net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    net.loop.run_once()
-    assert net.loop.postponed
-    hold_up(net, monkeypatch, BEFORE_CALLBACKS, HELD_UP_US, lambda net: bring_changes(net, entry))
-    scene.turn()
+    entry = scene.net.host_entry(scene.number, "Terminating")
+    scene.run_two_held_up_turns(monkeypatch, moment, lambda net: bring_changes(net, entry))
     assert scene.begun() == []
 
 
@@ -224,8 +212,7 @@
 ):
     # The clock of the turn said that there was time left.
     scene = make_scene(SHORT_TIMEOUT_MS)
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, lambda net: None)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment)
     assert scene.begun() == []
 
 
@@ -235,15 +222,7 @@
 ):
     # RESP's connections did not ask whether their client was still there.
     scene = make_scene()
-    nears = [scene.net.accepted_socket(client) for client in scene.clients]
-
-    def leave(net):
-        for client in scene.clients:
-            client.close()
-        wait_until_readable(*nears)
-
-    hold_up(scene.net, monkeypatch, moment, HELD_UP_US, leave)
-    scene.turn()
+    scene.run_held_up_turn(monkeypatch, moment, scene.departure_of_clients())
     assert scene.begun() == []
 
 
