review/1: a second copy of an answer, 3 ms late, is served to the next client

Cause: HostConnection.precedes_request takes bytes for the answer unless they come within 5 ms of the last one and sooner than four fifths of the host's shortest latency. That figure counts misses, which a cache answers at once, so over ways of 1 ms it is the time there and back, and a copy that crosses the next request passes for its answer. The connection may then stay one answer behind.

Done: a case over HTTP/1.1 with its script, claim and stand-ins. Stand-ins end all processes however a case ends, and case 3 goes by the kill itself.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,96 +1,92 @@
-"""Values of 900 KB, one at a time, on connections that are kept: the balancer's memory.
+"""Sign-ups over RESP while some answers are lost: how often each runs.
 
-The platform kills a balancer that is over its memory limit. Without the disruption the values have
-100 bytes.
+Each sign-up adds one to a counter of its own, and its client writes it once. Two of three slot
+servers do the work of each command; on one in ten they reset the connection in place of the
+answer. Without the disruption all answers arrive.
 """
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
+from collections import Counter
 from contextlib import suppress
 from pathlib import Path
 
-from stand_ins.deployment import MEMORY_MB, Deployment, key_of, run_case
-from stand_ins.platform import TROUBLE, Balancer, Record
-from stand_ins.resp import Client, text_of
+from stand_ins.deployment import Deployment, key_of, run_case, start_servers
+from stand_ins.platform import TROUBLE, Record
+from stand_ins.resp import Client, SlotServer, text_of
 
-CONNECTIONS = 230  # the balancer says at its start that it has room for 488 clients
-VALUE_BYTES = 900_000 if TROUBLE else 100
-LOOK_EVERY_S = 0.005
-SMALL_CLIENTS = 4
+CLIENTS = 5
+RUN_S = 20.0
+PAUSE_S = 0.05
+LOST_ONE_IN = 10
 
 
-async def enforce_limit(balancer: Balancer, record: Record) -> None:
-    """Kills the balancer once it holds more memory than its limit, as the platform does.
+class LosingServer(SlotServer):
+    """A slot server whose answers to sign-ups get lost while `losing` is set."""
 
-    It ends with that; while the balancer keeps to its limit it goes on.
-    """
-    while (memory_mb := balancer.anonymous_mb()) <= MEMORY_MB:
-        await asyncio.sleep(LOOK_EVERY_S)
-    record(f"platform: {memory_mb:.1f} MB are over the limit of {MEMORY_MB} MB: killed")
-    balancer.signal(signal.SIGKILL)
+    losing = False
+    signups = 0
 
-
-async def ask_on(port: int, key: bytes, counts: dict[str, int]) -> None:
-    """A client that reads a small value again and again, and counts what has no answer."""
-    client = await Client.connect(port)
-    while not counts["stop"]:
-        client.send(b"GET", key)
-        counts["sent"] += 1
-        await client.read()
-        counts["answered"] += 1
+    def loses_answer(self, words: list[bytes]) -> bool:
+        """Returns whether this is one of the answers that get lost."""
+        if not self.losing or words[0] != b"INCR":
+            return False
+        self.signups += 1
+        return self.signups % LOST_ONE_IN == 0
 
 
-async def write_large(port: int, key: bytes, kept: list[Client]) -> str:
-    """Writes one value on a connection of its own, which is kept; returns the reply."""
+async def sign_up(port: int, name: str, replies: dict[bytes, str], record: Record) -> None:
+    """A client that signs up for one shift after another, and writes each sign-up once."""
     client = await Client.connect(port)
-    kept.append(client)
-    return text_of(await client.call(b"SET", key, b"x" * VALUE_BYTES))
+    number = 0
+    while True:
+        number += 1
+        key = b"%b-shift-%d" % (name.encode(), number)
+        replies[key] = ""
+        record(f"{name} sent INCR {key.decode()}")
+        replies[key] = text_of(await client.call(b"INCR", key))
+        record(f"{name} got {replies[key]} for INCR {key.decode()}")
+        await asyncio.sleep(PAUSE_S)
 
 
 async def case(record: Record) -> int:
     """Plays the case and returns the verdict's exit code."""
-    deployment = await Deployment.start()
-    balancer = deployment.balancer
-    for server in deployment.servers:
-        server.keeps_values = False
-        server.latency_s = 0.01
-    counts = {"sent": 0, "answered": 0, "stop": 0}
-    key = key_of(deployment.servers[0])
-    platform = asyncio.create_task(enforce_limit(balancer, record))
-    tasks = [asyncio.create_task(ask_on(balancer.port, key, counts)) for _ in range(SMALL_CLIENTS)]
-    kept: list[Client] = []
-    replies: dict[str, int] = {}
-    try:
-        for number in range(CONNECTIONS):
-            key = key_of(deployment.servers[number % 3], number // 3)
-            reply = await write_large(balancer.port, key, kept)
-            replies[reply] = replies.get(reply, 0) + 1
-            record(
-                f"SET of {VALUE_BYTES} bytes on connection {number}: {reply}; the balancer holds "
-                f"{balancer.anonymous_mb():.1f} MB"
-            )
-        await asyncio.sleep(1.0)
-        counts["stop"] = 1
-        await asyncio.sleep(0.5)
-        record(f"1.5 s later, nothing large under way: {balancer.anonymous_mb():.1f} MB")
-    except (OSError, EOFError) as error:
-        record(f"the connection ended: {error!r}")
-    await asyncio.sleep(0.2)  # for an end of the process that the connections told of
-    broken = platform.done() or balancer.process.poll() is not None
-    for task in (platform, *tasks):
+    servers = await start_servers(3, LosingServer)
+    deployment = await Deployment.start(servers)
+    record(f"ready; the first server owns {key_of(servers[0]).decode()}")
+    replies: dict[bytes, str] = {}
+    port = deployment.balancer.port
+    tasks = [
+        asyncio.create_task(sign_up(port, f"client{number}", replies, record))
+        for number in range(CLIENTS)
+    ]
+    for server in servers[:2]:
+        server.losing = TROUBLE  # type: ignore[attr-defined]
+    await asyncio.sleep(RUN_S)
+    for task in tasks:
         task.cancel()
         with suppress(asyncio.CancelledError, OSError, EOFError):
             await task
-    record.add_log(balancer.end())
-    unanswered = counts["sent"] - counts["answered"]
+    record.add_log(deployment.balancer.end())
+    runs: Counter[bytes] = Counter()
+    for number, server in enumerate(servers):
+        for at, words in server.runs:
+            if words[0] == b"INCR":
+                runs[words[1]] += 1
+                record(
+                    f"server {number} ran {b' '.join(words).decode()} at {at - record.began:.4f}"
+                )
+    twice = {key: count for key, count in runs.items() if count > 1}
+    for key, count in twice.items():
+        record(f"{key.decode()} ran {count} times; its client was answered {replies[key]!r}")
+    refused = sum(runs[key] > 0 and "TRYAGAIN" in reply for key, reply in replies.items())
     text = (
-        f"{len(kept)} connections, {sum(replies.values())} large values written, replies "
-        f"{replies}; others: {counts['sent']} small reads sent, {unanswered} without an answer"
+        f"{len(replies)} sign-ups sent, {sum(runs.values())} runs, {len(twice)} ran more than "
+        f"once; {refused} were refused as not done and had run"
     )
-    return record.verdict(broken, text)
+    return record.verdict(bool(twice), text)
 
 
 sys.exit(run_case(case, str(Path(__file__).parent)))
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import signal
+import sys
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -45,20 +47,14 @@
         self.balancer = balancer
 
     @classmethod
-    async def start(
-        cls, cluster: list[SlotServer] | None = None, discovery_port: int = 0
-    ) -> Deployment:
+    async def start(cls, cluster: list[SlotServer] | None = None) -> Deployment:
         """Starts the balancer before these servers or three new ones, and waits until it serves.
 
         Raises TimeoutError if it does not.
         """
         cluster = cluster or await start_servers(3)
-        deployment = cls(cluster, Balancer(configuration(cluster, discovery_port)))
-        try:
-            await asyncio.wait_for(deployment.wait_until_ready(), READY_WITHIN_S)
-        except TimeoutError:
-            deployment.balancer.end()
-            raise
+        deployment = cls(cluster, Balancer(resp_configuration(cluster)))
+        await asyncio.wait_for(deployment.wait_until_ready(), READY_WITHIN_S)
         return deployment
 
     async def wait_until_ready(self) -> None:
@@ -95,9 +91,9 @@
     return next(owned)
 
 
-def configuration(cluster: list[SlotServer], discovery_port: int) -> dict[str, Any]:
-    """Returns the balancer's file: the rule sets and ceilings of kochi-roster, at free ports."""
-    config: dict[str, Any] = {
+def resp_configuration(cluster: list[SlotServer]) -> dict[str, Any]:
+    """Returns the file of a balancer over RESP: rule sets and ceilings of kochi-roster."""
+    return {
         "name": "resp1",
         "listen": f"127.0.0.1:{free_port()}",
         "seed": "8c1f30d27a5be964",
@@ -111,9 +107,29 @@
             "tenant": "sevanam",
         },
     }
-    if discovery_port:
-        config["discovery"] = f"127.0.0.1:{discovery_port}"
-    return config
+
+
+def http_configuration(discovery_port: int, hosts: list[dict[str, Any]]) -> dict[str, Any]:
+    """Returns the file of a balancer over HTTP/1.1 before an origin and its cache hosts."""
+    guarantees = {"drain-grace": 250_000, "cold-from": 0.32, "warm-after": 8_900_000}
+    settings = {
+        "kinds": ["full-node", "slow-node", "origin"],
+        "family-info": {"mode": "aside", "origin-kind": 2},
+        "registry-mode": "automatic",
+        "instances": 1,
+        "guarantees": guarantees,
+        "ceilings": {**CEILINGS, "conn-idle": 30_000_000},
+        "rule-sets": [rule_set(*each) for each in RULE_SETS],
+    }
+    return {
+        "name": "n1",
+        "listen": f"127.0.0.1:{free_port()}",
+        "discovery": f"127.0.0.1:{discovery_port}",
+        "seed": "8c1f30d27a5be964",
+        "limits": {"memory_mb": MEMORY_MB, "sockets": SOCKETS},
+        "known": {"seq": 41, "whole": True, "hosts": hosts},
+        "settings": settings,
+    }
 
 
 def rule_set(name: str, effect: str, target_ms: int, timeout_ms: int) -> dict[str, Any]:
@@ -131,6 +147,7 @@
 def run_case(case: Callable[[Record], Awaitable[int]], folder: str) -> int:
     """Runs a case with its record, and returns its exit code; 2 if it could not run."""
     record = Record(folder)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
 
     async def bounded() -> int:
         return await asyncio.wait_for(case(record), CASE_WITHIN_S)
@@ -140,3 +157,5 @@
     except Exception as error:  # noqa: BLE001 - whatever failed, the case could not run
         record(f"COULD NOT RUN: {error!r}")
         return COULD_NOT_RUN
+    finally:
+        Balancer.end_all()
--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -12,7 +12,7 @@
 import time
 import tomllib
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
@@ -55,6 +55,8 @@
 class Balancer:
     """One balancer process, started by `run` of the deploy file as the operators start it."""
 
+    started: ClassVar[list[Balancer]] = []  # all that this case has started
+
     def __init__(self, config: dict[str, Any]) -> None:
         """Writes the configuration to a temporary folder and starts the process."""
         self.folder = tempfile.TemporaryDirectory(prefix="case-")
@@ -80,6 +82,7 @@
             stdout=self.log,
             stderr=self.log,
         )
+        self.started.append(self)
 
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
@@ -97,8 +100,15 @@
                 return int(line.split()[1]) / 1024
         return 0.0
 
+    @classmethod
+    def end_all(cls) -> None:
+        """Ends every process that is left, however the case ended."""
+        while cls.started:
+            cls.started[0].end()
+
     def end(self) -> str:
         """Ends the process, and returns its log."""
+        self.started.remove(self)
         if self.process.poll() is None:
             self.process.kill()
         self.process.wait()
