A request is repeated by its own idempotency key, not by its class alone

Cause: the decisions took the effect of a class for a property of each of its requests. `dedup` says that hosts drop a repeat by the request's key; nobody asked whether it has one. A RESP command never has. The effect `retryable` let RESP writes be repeated too, against docs/resp.md.

Fix: a request has an `Idempotency`, told by its protocol: keyed, unkeyed, or never (RESP writes). decisions/repeat_safety has the one table that joins it with the class; retries, hedged requests, late starts, cancels, refusals, shadow evaluation and the status that a handover tells ask that. What a request carries does not change with settings, so reloads need nothing more. Node.fallback_status and RetryPolicy had the rule on refusals twice; it is `may_client_retry` now.

Tests changed: the harness sends a key as the operators' clients do; the property test of rule two draws the key too; the guard's test looks at one more argument.

--- a/orchidgap/control/guarded_node.py
+++ b/orchidgap/control/guarded_node.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.net.body_stream import Upload
 from orchidgap.net.config import BalancerConfig
 from orchidgap.net.node import Node
@@ -61,6 +62,7 @@
         slot: int = -1,
         upload: Upload | None = None,
         is_client_retry: bool = False,
+        idempotency: Idempotency = Idempotency.UNKEYED,
     ) -> None:
         """Accept a request, or answer 503 with a time for a retry."""
         # Since the call of `knows_request_class` the balancer may have regained its permission,
@@ -84,6 +86,7 @@
             slot,
             upload,
             is_client_retry,
+            idempotency,
         )
 
     def put_policy_into_force(
--- a/orchidgap/decisions/__init__.py
+++ b/orchidgap/decisions/__init__.py
@@ -18,7 +18,8 @@
 | how many attempts a host may have      | `concurrency_limit` | latencies of its attempts       |
 | which cache has far more load          | `load_reports`      | what caches report              |
 | which host is ejected for a while      | `outlier_ejection`  | failures, its retry budget      |
-| whether a request may be retried       | `retry_policy`      | its class and attempts          |
+| whether a request may be retried       | `retry_policy`      | its safety and attempts         |
+| whether a repeat of it does harm       | `repeat_safety`     | its class and idempotency key   |
 | which server owns a slot               | `slot_map`          | slot maps and redirections      |
 | what other settings would decide       | `shadow`            | each decision                   |
 
@@ -42,6 +43,7 @@
 | `load_reports`      | many balancers, each with little traffic, overload one cache      |
 | `outlier_ejection`  | requests go to a failed host until the list removes it            |
 | `retry_policy`      | a write is executed twice; retries multiply an overload           |
+| `repeat_safety`     | a repeat that no host recognizes counts as deduplicated           |
 
 Outside the path of a request: `host_list` (discovery's list), `warm_snapshot` and `lifecycle`
 (handover between processes), `connection_demand`, `gossip_counts` and `load_skew` (cooperation of
--- a/orchidgap/decisions/balancer.py
+++ b/orchidgap/decisions/balancer.py
@@ -29,6 +29,7 @@
 from orchidgap.decisions.ports import Port
 from orchidgap.decisions.records import AttemptOutcome, HostState, HostStatus, Request
 from orchidgap.decisions.rejections import RejectionReason
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.request_table import RequestTable
 from orchidgap.decisions.retry_policy import INITIAL_RETRY_BUDGET, forfeit_retry_budget
 from orchidgap.decisions.settings import ServiceSettings
@@ -91,6 +92,7 @@
         body_streaming: bool = False,
         waited_us: int = 0,
         is_client_retry: bool = False,
+        idempotency: Idempotency = Idempotency.UNKEYED,
     ) -> None:
         """Handle a new request.
 
@@ -106,6 +108,8 @@
             waited_us: Time since its last byte arrived. A process that was stalled handles it
                 late, but its latency objective counts from its arrival.
             is_client_retry: Whether its client marked it as a retry.
+            idempotency: What it tells of repeats; without an idempotency key or by its protocol it
+                may be less safe to repeat than its class.
         """
         if slot < 0:
             slot = self.rng.randrange(SLOT_COUNT) if key is None else slot_of_key(key)
@@ -119,6 +123,7 @@
             self.now - waited_us,
             self.now + time_remaining_us,
             self.settings.max_attempts,
+            idempotency,
             handled_at_us=self.now,
             body_streaming=body_streaming,
             is_client_retry=is_client_retry,
--- a/orchidgap/decisions/dispatch.py
+++ b/orchidgap/decisions/dispatch.py
@@ -14,6 +14,7 @@
 from orchidgap.decisions.placement import Placement
 from orchidgap.decisions.records import Attempt, AttemptOutcome, HostState, Request
 from orchidgap.decisions.rejections import RejectionReason
+from orchidgap.decisions.repeat_safety import RepeatSafety
 from orchidgap.decisions.retry_policy import (
     RETRY_COST,
     earn_retry_budget,
@@ -129,7 +130,7 @@
         may_continue = not request.answered and has_attempts_left
         return (
             may_cancel
-            and request.request_class.idempotent
+            and request.repeat_safety is RepeatSafety.IDEMPOTENT
             and may_continue
             and has_retry_budget(self.placement.all_caches)
             and self.origin.has_spare_capacity()
--- a/orchidgap/decisions/records.py
+++ b/orchidgap/decisions/records.py
@@ -10,6 +10,7 @@
 from enum import StrEnum
 
 from orchidgap.decisions.rejections import RejectionReason
+from orchidgap.decisions.repeat_safety import Idempotency, RepeatSafety, repeat_safety
 from orchidgap.decisions.settings import RequestClass
 
 
@@ -128,6 +129,7 @@
     received_at_us: int  # when its last byte arrived
     deadline_us: int  # when its client stops waiting
     max_attempts: int
+    idempotency: Idempotency = Idempotency.UNKEYED  # what it tells of repeats itself
     handled_at_us: int = 0  # when the host program passed it to the decisions
     is_client_retry: bool = False  # its client marked it as a retry
     attempts: list[Attempt] = field(default_factory=list)
@@ -149,6 +151,11 @@
         """Attempts that count against `max_attempts`; redirected ones were not executed."""
         return len(self.attempts) - self.redirects
 
+    @property
+    def repeat_safety(self) -> RepeatSafety:
+        """The consequence of a second execution."""
+        return repeat_safety(self.request_class, self.idempotency)
+
 
 def possibly_executed(attempts: Sequence[Attempt]) -> list[Attempt]:
     """Return the attempts that were possibly executed or may still be."""
--- a/orchidgap/decisions/retry_policy.py
+++ b/orchidgap/decisions/retry_policy.py
@@ -1,13 +1,13 @@
 """Decides when a request may have another attempt, and when its client may retry a denied one.
 
 An attempt was possibly executed unless its outcome proves that it was not
-(`records.NEVER_EXECUTED`). Then the request's class determines where it may be repeated:
+(`records.NEVER_EXECUTED`). Then its `RepeatSafety` determines where the request may be repeated:
 
-| class             | after a possibly executed attempt, the next one may go to             |
+| repeat safety     | after a possibly executed attempt, the next one may go to             |
 | ----------------- | --------------------------------------------------------------------- |
-| idempotent        | any host                                                              |
-| idempotency_keyed | hosts that deduplicate its key, while they remember it                |
-| neither           | none                                                                  |
+| IDEMPOTENT        | any host                                                              |
+| DEDUPLICATED      | hosts that deduplicate its key, while they remember it                |
+| NON_IDEMPOTENT    | none                                                                  |
 
 A host's retry budget limits retries to a fraction of its answers: retries spend it and answers
 earn it. All conditions of a further attempt, including those that the stages check:
@@ -37,6 +37,7 @@
     Request,
     possibly_executed,
 )
+from orchidgap.decisions.repeat_safety import Idempotency, RepeatSafety, repeat_safety
 from orchidgap.decisions.settings import RequestClass, ServiceSettings
 
 # Outcomes after which another attempt may succeed.
@@ -97,6 +98,7 @@
             request.attempts,
             host,
             request.request_class,
+            request.idempotency,
             request.max_attempts + request.redirects,
             now_us,
         )
@@ -115,13 +117,11 @@
             now_us: The current time in microseconds.
         """
         retry_after_us = self.unexecuted_retry_after_us
-        executed = _unrepeatable_attempts(request.attempts, request_class)
+        safety = repeat_safety(request_class, request.idempotency)
+        executed = _unrepeatable_attempts(request.attempts, safety)
         if not executed:
             return retry_after_us
-        every_host_deduplicates = (
-            request_class.idempotency_keyed and request_class.deduplication_scope == "all"
-        )
-        if not every_host_deduplicates:
+        if not may_client_retry(request_class, safety):
             return None
         remembered_us = request_class.deduplication_window_us - (now_us - executed[0].started_at_us)
         return min(retry_after_us, max(0, remembered_us) // 2)
@@ -131,6 +131,7 @@
     attempts: Sequence[Attempt],
     host: HostState,
     request_class: RequestClass,
+    idempotency: Idempotency,
     max_attempts: int,
     now_us: int,
 ) -> bool:
@@ -139,17 +140,19 @@
     Args:
         attempts: The earlier attempts of the request, in their order.
         host: The host of the next attempt.
-        request_class: The class, which determines whether a second execution does harm.
+        request_class: The class; with `idempotency` it determines whether a repeat does harm.
+        idempotency: What the request itself tells of repeats.
         max_attempts: How many attempts the request may have, including redirected ones.
         now_us: The current time in microseconds.
     """
     if len(attempts) >= max_attempts:
         return False
-    executed = _unrepeatable_attempts(attempts, request_class)
+    safety = repeat_safety(request_class, idempotency)
+    executed = _unrepeatable_attempts(attempts, safety)
     if not executed:
         return True
     key_is_remembered = (
-        request_class.idempotency_keyed
+        safety is RepeatSafety.DEDUPLICATED
         and now_us - executed[0].started_at_us < request_class.deduplication_window_us
     )
     if not key_is_remembered:
@@ -164,16 +167,26 @@
     A repeat of a possibly executed attempt must reach its host before the idempotency key expires
     there, and the connection for it may be opened late.
     """
-    request_class = request.request_class
-    if not request_class.idempotency_keyed:
+    if request.repeat_safety is not RepeatSafety.DEDUPLICATED:
         return request.deadline_us
     executed = possibly_executed(request.attempts[:number])
     if not executed:
         return request.deadline_us
-    key_expires_at_us = executed[0].started_at_us + request_class.deduplication_window_us
+    window_us = request.request_class.deduplication_window_us
+    key_expires_at_us = executed[0].started_at_us + window_us
     return min(request.deadline_us, key_expires_at_us)
 
 
+def may_client_retry(request_class: RequestClass, safety: RepeatSafety) -> bool:
+    """Return whether a client may retry a possibly executed request, which may reach any host.
+
+    If hosts deduplicate the request, this holds only while they remember its key.
+    """
+    if safety is RepeatSafety.DEDUPLICATED:
+        return request_class.deduplication_scope == "all"
+    return safety is RepeatSafety.IDEMPOTENT
+
+
 def has_retry_budget(host: HostState) -> bool:
     """Return whether the host's retry budget is enough for another attempt."""
     return host.retry_budget >= RETRY_COST
@@ -189,11 +202,9 @@
     host.retry_budget = max(0.0, host.retry_budget - RETRY_COST)
 
 
-def _unrepeatable_attempts(
-    attempts: Sequence[Attempt], request_class: RequestClass
-) -> Sequence[Attempt]:
-    """Return the possibly executed attempts, if a second execution does harm, else none."""
-    return () if request_class.idempotent else possibly_executed(attempts)
+def _unrepeatable_attempts(attempts: Sequence[Attempt], safety: RepeatSafety) -> Sequence[Attempt]:
+    """Return the possibly executed attempts that limit repeats; an idempotent request has none."""
+    return () if safety is RepeatSafety.IDEMPOTENT else possibly_executed(attempts)
 
 
 def _deduplicate_together(first: HostState, second: HostState, scope: str) -> bool:
--- a/orchidgap/decisions/shadow.py
+++ b/orchidgap/decisions/shadow.py
@@ -139,6 +139,7 @@
                 earlier,
                 attempt.host,
                 self._other_request_class(request),
+                request.idempotency,
                 self.other_settings.max_attempts + request.redirects,
                 self.now,
             )
--- a/orchidgap/http1/request_checks.py
+++ b/orchidgap/http1/request_checks.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.errors import OrchidgapError
 from orchidgap.http1.messages import Message
 from orchidgap.http1.writers import parse_seconds, split_target
@@ -25,6 +26,7 @@
         key: key of the requested value, empty where the request has none.
         tenant: tenant that the request belongs to, empty where none is given.
         is_client_retry: the client has marked it as a retry.
+        idempotency: whether it carries an idempotency key, by which hosts recognize a repeat.
     """
 
     request_id: bytes
@@ -33,6 +35,7 @@
     key: bytes
     tenant: str
     is_client_retry: bool
+    idempotency: Idempotency
 
 
 class InvalidRequestError(OrchidgapError):
@@ -93,4 +96,8 @@
         raise InvalidRequestError(409)
     tenant = fields.get(b"tenant", b"").decode(errors="replace")
     is_client_retry = fields.get(b"client-retry") == b"1"
-    return RequestFields(request_id, request_class, timeout_us, key, tenant, is_client_retry)
+    has_idempotency_key = bool(fields.get(b"idempotency-key"))
+    idempotency = Idempotency.KEYED if has_idempotency_key else Idempotency.UNKEYED
+    return RequestFields(
+        request_id, request_class, timeout_us, key, tenant, is_client_retry, idempotency
+    )
--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -233,6 +233,7 @@
             body,
             upload=upload,
             is_client_retry=fields.is_client_retry,
+            idempotency=fields.idempotency,
         )
 
     # --- responses
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -16,8 +16,9 @@
 from orchidgap.decisions.balancer import Balancer
 from orchidgap.decisions.host_list import ListScope
 from orchidgap.decisions.lifecycle import Lifecycle, LifecycleEvent
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.request_table import RequestTable
-from orchidgap.decisions.retry_policy import RetryPolicy
+from orchidgap.decisions.retry_policy import RetryPolicy, may_client_retry
 from orchidgap.decisions.shadow import ShadowBalancer
 from orchidgap.net.body_stream import Upload
 from orchidgap.net.client_listener import ClientListener
@@ -194,6 +195,7 @@
         slot: int = -1,
         upload: Upload | None = None,
         is_client_retry: bool = False,
+        idempotency: Idempotency = Idempotency.UNKEYED,
     ) -> None:
         """Handle a new request; see `RequestHandler`."""
         self.last_request_number += 1
@@ -210,6 +212,7 @@
             tenant,
             slot,
             is_client_retry,
+            idempotency,
             exchange=exchange,
         )
 
@@ -222,6 +225,7 @@
         tenant: str,
         slot: int,
         is_client_retry: bool,
+        idempotency: Idempotency,
     ) -> None:
         """Pass a request to the decisions, with its times relative to their clock."""
         now_us = self.balancer.now
@@ -236,6 +240,7 @@
             exchange.upload is not None,
             exchange.waited_us(now_us),
             is_client_retry,
+            idempotency,
         )
 
     # --- calls of discovery
@@ -313,13 +318,10 @@
         It is 503 if a retry is harmless, otherwise 500.
         """
         request = self.balancer.requests.get(number)
-        request_class = request.request_class if request else None
-        if request_class is None:
+        if request is None:
             return 500
-        is_deduplicated_everywhere = (
-            request_class.idempotency_keyed and request_class.deduplication_scope == "all"
-        )
-        return 503 if request_class.idempotent or is_deduplicated_everywhere else 500
+        may_retry = may_client_retry(request.request_class, request.repeat_safety)
+        return 503 if may_retry else 500
 
     @property
     def has_warm_state(self) -> bool:
--- a/orchidgap/net/request_handler.py
+++ b/orchidgap/net/request_handler.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from orchidgap.decisions.lifecycle import Lifecycle
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.net.body_stream import Upload
 from orchidgap.net.traffic_counts import TrafficCounts
 
@@ -93,12 +94,14 @@
         slot: int = -1,
         upload: Upload | None = None,
         is_client_retry: bool = False,
+        idempotency: Idempotency = Idempotency.UNKEYED,
     ) -> None:
         """Handle a new request.
 
         Sets `responder.pending_request`; `responder.answer` is called once.
 
         `timeout_us` is how long the client waits, counted from the request's last byte. A slot
-        below 0 is derived from the key. A streamed body is not in `body`, and
+        below 0 is derived from the key. `idempotency` is `KEYED` only if the idempotency key is
+        part of what is sent to hosts. A streamed body is not in `body`, and
         `pending_request.on_body_complete` is called at its end.
         """
--- a/orchidgap/resp/commands.py
+++ b/orchidgap/resp/commands.py
@@ -1,14 +1,18 @@
 """Command table: the positions of a command's keys, and whether it is a write.
 
-The data is from the public command tables. Reads are idempotent. Every write counts as not
-idempotent, and one that may have executed is never resent. This includes writes such as SET, whose
-repetition would overwrite any write that another client made between the two executions.
+The data is from the public command tables. Whether a read may be repeated is a property of its
+request class. Every write counts as not idempotent whatever its class, and one that may have
+executed is never resent: commands carry no idempotency key by which a server could recognize a
+repeat. This includes writes such as SET, whose repetition would overwrite any write that another
+client made between the two executions.
 """
 
 from __future__ import annotations
 
 from typing import NamedTuple
 
+from orchidgap.decisions.repeat_safety import Idempotency
+
 LAST_WORD = -1
 
 
@@ -34,6 +38,11 @@
     is_write: bool
     join: str = ""
 
+    @property
+    def idempotency(self) -> Idempotency:
+        """What the command tells of repeats."""
+        return Idempotency.NEVER if self.is_write else Idempotency.UNKEYED
+
 
 # Commands with one key, each with its minimum number of words.
 READS = """GET 2|STRLEN 2|TYPE 2|TTL 2|PTTL 2|EXPIRETIME 2|PEXPIRETIME 2|GETRANGE 4|GETBIT 3|
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -301,6 +301,7 @@
             encode_command(*words),
             b"",
             slot,
+            idempotency=command.idempotency,
         )
         in_flight = self.in_flight_by_slot.setdefault(slot, [])
         in_flight.append(reply)
--- a/orchidgap/simulation/baselines.py
+++ b/orchidgap/simulation/baselines.py
@@ -20,6 +20,7 @@
 from orchidgap.decisions.ports import Port
 from orchidgap.decisions.records import Attempt, AttemptOutcome, HostState, HostStatus, Request
 from orchidgap.decisions.rejections import RejectionReason
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.request_table import RequestTable
 from orchidgap.decisions.retry_policy import RETRYABLE_OUTCOMES
 from orchidgap.decisions.settings import ServiceSettings
@@ -122,6 +123,7 @@
         body_streaming: bool = False,
         waited_us: int = 0,
         is_client_retry: bool = False,  # ignored by these policies
+        idempotency: Idempotency = Idempotency.UNKEYED,
     ) -> None:
         """Send a new request to a host; see `Balancer.on_request`. The key is always hashed."""
         slot = self.rng.randrange(SLOT_COUNT) if key is None else slot_of_key(key)
@@ -135,6 +137,7 @@
             self.now - waited_us,
             self.now + time_remaining_us,
             self.settings.max_attempts,
+            idempotency,
             handled_at_us=self.now,
             body_streaming=body_streaming,
         )
--- a/orchidgap/wirehost/messages.py
+++ b/orchidgap/wirehost/messages.py
@@ -11,6 +11,7 @@
 from orchidgap.decisions.balancer import Balancer
 from orchidgap.decisions.host_list import HostEntry, ListScope
 from orchidgap.decisions.records import AttemptOutcome
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.settings import ServiceSettings
 from orchidgap.errors import OrchidgapError
 from orchidgap.wirehost import words
@@ -52,7 +53,8 @@
 
     def apply_to(self, balancer: Balancer) -> None:
         """Applies the message to the balancer."""
-        balancer.on_request(*self)
+        # The simulator marks the requests of every class whose hosts drop repeats.
+        balancer.on_request(*self, idempotency=Idempotency.KEYED)
 
 
 class LoadReport(NamedTuple):
--- a/tests/balancer_harness.py
+++ b/tests/balancer_harness.py
@@ -1,6 +1,7 @@
 """A balancer with a port that records its calls, and a clock that tests advance."""
 
 from orchidgap.decisions.balancer import Balancer
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.settings import ServiceSettings
 
 SETTINGS = {
@@ -62,7 +63,12 @@
         )
 
     def send_request(
-        self, key=1, request_class="read", time_remaining_us=2_000_000, tenant="small"
+        self,
+        key=1,
+        request_class="read",
+        time_remaining_us=2_000_000,
+        tenant="small",
+        idempotency=Idempotency.KEYED,
     ):
         self.last_request_id += 1
         self.on_request(
@@ -72,6 +78,7 @@
             request_class,
             key,
             tenant,
+            idempotency=idempotency,
         )
         return self.last_request_id
 
--- a/tests/control/test_guarded_node.py
+++ b/tests/control/test_guarded_node.py
@@ -5,6 +5,7 @@
 import pytest
 
 from orchidgap.control.guarded_node import LeaseGuardedNode
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.net.node import Node
 from orchidgap.net.traffic_counts import TrafficCounts
 
@@ -55,7 +56,16 @@
     if not node.knows_request_class(request_class):
         return 404
     node.handle_request(
-        client, b"id", request_class, 1_000_000, False, b"key", "tenant", b"head", b"body"
+        client,
+        b"id",
+        request_class,
+        1_000_000,
+        False,
+        b"key",
+        "tenant",
+        b"head",
+        b"body",
+        idempotency=Idempotency.KEYED,
     )
     return client.answers
 
@@ -63,7 +73,8 @@
 def test_with_permission_requests_are_handled_as_without_a_guard(accepted):
     node = make_node(Guard(True))
     assert send(node, "read") == [] and len(accepted) == 1
-    assert accepted[0][1:4] == (b"id", "read", 1_000_000) and accepted[0][-3:] == (-1, None, False)
+    assert accepted[0][1:4] == (b"id", "read", 1_000_000)
+    assert accepted[0][-4:] == (-1, None, False, Idempotency.KEYED)
     assert send(node, "unknown") == 404 and len(accepted) == 1
     assert node.is_ready()
 
--- a/tests/decisions/test_retry_policy.py
+++ b/tests/decisions/test_retry_policy.py
@@ -12,6 +12,7 @@
     HostState,
     Request,
 )
+from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.decisions.retry_policy import (
     RetryPolicy,
     earn_retry_budget,
@@ -120,7 +121,13 @@
     )
 
 
-def request_of(effect="retryable", scope="all", window_us=1_000, max_attempts=3):
+def request_of(
+    effect="retryable",
+    scope="all",
+    window_us=1_000,
+    max_attempts=3,
+    idempotency=Idempotency.KEYED,
+):
     request_class = RequestClass(
         latency_objective_us=500,
         idempotent=effect == "retryable",
@@ -129,7 +136,7 @@
         deduplication_window_us=window_us,
         client_timeout_us=5_000,
     )
-    return Request(1, request_class, "t", 1, 0, True, 0, 5_000, max_attempts)
+    return Request(1, request_class, "t", 1, 0, True, 0, 5_000, max_attempts, idempotency)
 
 
 def with_attempts(request, *outcomes, host=None, started_at_us=0):
@@ -146,36 +153,65 @@
 
 @given(
     st.sampled_from(["retryable", "dedup", "fragile"]),
+    st.sampled_from(Idempotency),
     st.sampled_from(["all", "zone", "cell"]),
     st.lists(outcomes, max_size=4),
     st.booleans(),
     st.integers(0, 2_000),
     st.sampled_from(["1", "2"]),
 )
-def test_nothing_is_executed_twice_where_that_does_harm(effect, scope, seen, may_hedge, now, cell):
-    request = with_attempts(request_of(effect, scope), *seen)
+def test_nothing_is_executed_twice_where_that_does_harm(
+    effect, idempotency, scope, seen, may_hedge, now, cell
+):
+    request = with_attempts(request_of(effect, scope, idempotency=idempotency), *seen)
     host = HostState("b", True, zone="z", cell=cell)
     for attempt in request.attempts:
         attempt.host = HostState("a", True, zone="z", cell="1")
     policy = RetryPolicy(may_hedge, 900)
     possibly_executed = any(outcome not in NEVER_EXECUTED for outcome in seen)
-    remembered = effect == "dedup" and now < 1_000 and (scope != "cell" or cell == "1")
+    idempotent = effect == "retryable" and idempotency is not Idempotency.NEVER
+    keyed = effect == "dedup" and idempotency is Idempotency.KEYED
+    remembered = keyed and now < 1_000 and (scope != "cell" or cell == "1")
     assert policy.allows(request, host, now) == (
         len(seen) < 3
         and (may_hedge or None not in seen)
-        and (effect == "retryable" or not possibly_executed or remembered)
+        and (idempotent or not possibly_executed or remembered)
     )
     retry_after_us = policy.retry_after_us(request, request.request_class, now)
-    retry_is_harmless = (
-        effect == "retryable" or not possibly_executed or (effect == "dedup" and scope == "all")
-    )
+    retry_is_harmless = idempotent or not possibly_executed or (keyed and scope == "all")
     assert (retry_after_us is not None) == retry_is_harmless
     if retry_after_us is not None:
         assert 0 <= retry_after_us <= 450
-        if possibly_executed and effect == "dedup":
+        if possibly_executed and keyed:
             assert now + retry_after_us <= max(now, 1_000), "its key would have expired"
 
 
+@pytest.mark.parametrize("idempotency", [Idempotency.UNKEYED, Idempotency.NEVER])
+@pytest.mark.parametrize("outcome", ["reset", "error", "stale", "timeout", "cancelled"])
+def test_a_possibly_executed_request_without_a_key_is_aborted_though_its_class_is_keyed(
+    outcome, idempotency
+):
+    # The class alone was taken as a proof that hosts recognize the repeat.
+    balancer = BalancerHarness()
+    request = balancer.send_request(3, "mark", idempotency=idempotency)
+    balancer.finish_attempt(request, outcome)
+    assert balancer.attempted_hosts(request) == ["o"]
+    assert balancer.actions("abort", request) and not balancer.actions("deny", request)
+
+
+@pytest.mark.parametrize(("idempotency", "attempts"), [("KEYED", 2), ("UNKEYED", 1), ("NEVER", 1)])
+def test_only_a_keyed_request_of_a_keyed_class_is_hedged(idempotency, attempts):
+    # A lost attempt was repeated while it was in flight, whether or not its request had a key.
+    balancer = BalancerHarness(**{"ceilings.may-duplicate": "true"})
+    origin = balancer.hosts["o"]
+    origin.smoothed_latency_us = 10_000
+    request = balancer.send_request(3, "mark", idempotency=Idempotency[idempotency])
+    balancer.advance(100_000)
+    origin.last_response_at_us = balancer.now
+    balancer.advance(500_000)
+    assert len(balancer.attempted_hosts(request)) == attempts
+
+
 def test_an_answered_request_gets_no_further_attempt():
     request = request_of()
     assert RetryPolicy(True, 0).allows(request, HostState("a", True), 0)
--- a/tests/net/test_request_migration.py
+++ b/tests/net/test_request_migration.py
@@ -165,15 +165,25 @@
 
 @pytest.mark.parametrize("framing", [f"Content-Length: {len(BODY)}", "Transfer-Encoding: chunked"])
 @pytest.mark.parametrize(
-    ("ending", "status"), [("done", "200"), ("reset", "503"), ("stalls", "408"), ("late", "503")]
+    ("key_field", "ending", "status"),
+    [
+        ("Idempotency-Key: m1\r\n", "done", "200"),
+        ("Idempotency-Key: m1\r\n", "reset", "503"),
+        ("Idempotency-Key: m1\r\n", "stalls", "408"),
+        ("Idempotency-Key: m1\r\n", "late", "503"),
+        ("", "done", "200"),
+        ("", "reset", "500"),
+        ("", "late", "500"),
+    ],
 )
-def test_streamed_upload_continues_in_the_new_process(framing, ending, status):
+def test_streamed_upload_continues_in_the_new_process(framing, key_field, ending, status):
     """The old process shuts down in the middle of a large request body. The new one continues it,
-    and the host receives every byte exactly once.
+    and the host receives every byte exactly once. Without a key no host recognizes a repeat, so the
+    client is not told that a retry is harmless.
     """
     pair = ProcessPair(1)
     head = (
-        f"PUT /mark/k1 HTTP/1.1\r\nRequest-Id: r1\r\nIdempotency-Key: m1\r\nRequest-Timeout: 1\r\n{framing}\r\n\r\n"
+        f"PUT /mark/k1 HTTP/1.1\r\nRequest-Id: r1\r\n{key_field}Request-Timeout: 1\r\n{framing}\r\n\r\n"
     ).encode()
     text = (
         BODY
--- a/tests/resp/resp_harness.py
+++ b/tests/resp/resp_harness.py
@@ -14,6 +14,16 @@
     {"name": name, "effect": effect, "response-target": 300_000, "client-timeout": 1_000_000}
     for name, effect in (("read", "retryable"), ("write", "fragile"))
 ]
+SETTINGS = {
+    "rule-sets": RULES,
+    "ceilings": {
+        "most-dispatches": 4,
+        "may-cancel": True,
+        "retry-after": True,
+        "max-retry-after": 500_000,
+        "connect-timeout": 100_000,
+    },
+}
 
 
 class Log:
@@ -117,12 +127,13 @@
 class RespCluster:
     """A node and `servers` slot servers, which own equal parts of the slots.
 
-    `layout` lists the slot ranges as (first, last, server number); tests may change it.
+    `layout` lists the slot ranges as (first, last, server number); tests may change it. `settings`
+    are laid over `SETTINGS`.
     """
 
     address = ("127.1.0.1", 7070)
 
-    def __init__(self, servers=3, limits=None, **resp):
+    def __init__(self, servers=3, limits=None, settings=None, **resp):
         self.network, self.log = VirtualNetwork(), Log()
         self.servers = [SlotServer(self, number) for number in range(1, servers + 1)]
         self.layout = [
@@ -134,16 +145,7 @@
             "seed": "7",
             "known": None,
             "limits": limits,
-            "settings": {
-                "rule-sets": RULES,
-                "ceilings": {
-                    "most-dispatches": 4,
-                    "may-cancel": True,
-                    "retry-after": True,
-                    "max-retry-after": 500_000,
-                    "connect-timeout": 100_000,
-                },
-            },
+            "settings": SETTINGS | (settings or {}),
             "resp": {"seeds": [server.name for server in self.servers]} | resp,
         }
         node_config = config.config_from_document(document)
