RESP: a split write is refused as not done only if no part may have run

Cause: JoinedReply answered with the error of the first part that failed; a refusal is true of its part alone.

Evidence: three of the four new tests failed before: a refused part beside one that ran, beside one whose answer was lost, and beside one that its server answered with an error.

Fix: a reply keeps whether it was denied, and for how long; the joined reply has a table: errors that are no denial first, a denial where all parts were denied or the command reads, else that it may have run.

--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -12,6 +12,8 @@
 NULLS = (b"$-1\r\n", b"*-1\r\n")
 RESP3_NULL = b"_\r\n"
 ERROR_TYPES = (b"-", b"!")
+POSSIBLY_EXECUTED_ERROR = "ERR given up, it may have run"
+PARTS_NOTE = " (a part of several slots; others may have run)"
 
 
 class ReplyQueue(Protocol):
@@ -53,9 +55,12 @@
         slot: slot of the key; -1 if the command needs no host.
         is_write: whether the command modifies data.
         forward: forwards the command; None once it was forwarded.
+        denied_for_us: after what time a denied command may be sent again, 0 if that is not known;
+            None if it was not denied. A denied write was not executed.
     """
 
     __slots__ = (
+        "denied_for_us",
         "encoded",
         "forward",
         "is_delayed",
@@ -80,6 +85,7 @@
         self.is_write = False
         self.is_delayed = False
         self.forward: Callable[[], None] | None = None
+        self.denied_for_us: int | None = None
 
     @property
     def awaits_host(self) -> bool:
@@ -93,10 +99,10 @@
         """Encodes the node's answer, whose status codes are the same for all protocols."""
         self.pending_request = None
         if status == 503:
-            when = f"; come back in {retry_after_us // 1000} ms" if retry_after_us else ""
-            body = encode_error(f"TRYAGAIN turned away, nothing was done{when}")
+            self.denied_for_us = retry_after_us
+            body = encode_denial(retry_after_us)
         elif status == 500:
-            body = encode_error("ERR given up, it may have run")
+            body = encode_error(POSSIBLY_EXECUTED_ERROR)
         elif status not in (200, 400):
             body = encode_error(f"ERR {status}")
         elif self.queue.uses_resp3:
@@ -126,8 +132,16 @@
 class JoinedReply(Reply):
     """The reply to a command that was split by slots.
 
-    It is answered once all parts are. If a part fails, its error is the answer, with a note that
-    other parts may have run.
+    It is answered once all parts are. Parts may fail for different reasons, and the answer must be
+    true of all of them:
+
+    | parts                                     | answer                                          |
+    | ----------------------------------------- | ----------------------------------------------- |
+    | all succeeded                             | the joined answers                              |
+    | some failed, and not by a denial          | the first such error, and that others may have  |
+    |                                           | run                                             |
+    | all failed by a denial, or it is a read   | a denial with the longest time to wait          |
+    | a write of which some failed by a denial  | that it may have run, as other parts have       |
 
     Attributes:
         join: how the answers are combined, see `Command.join`.
@@ -148,12 +162,11 @@
         """Combines the answers once all parts are answered."""
         if any(part.encoded is None for part in self.parts):
             return
-        answers = [part.encoded or b"" for part in self.parts]
-        failed = next((answer for answer in answers if answer[:1] in ERROR_TYPES), None)
-        if failed:
-            note = b" (a part of several slots; others may have run)\r\n"
-            self.set_encoded(failed[:-2] + note)
+        failure = self.encode_failure()
+        if failure:
+            self.set_encoded(failure)
             return
+        answers = [part.encoded or b"" for part in self.parts]
         if self.join == "sum":
             counts = (parse_integer(answer[1:-2]) or 0 for answer in answers)
             self.set_encoded(encode_integer(sum(counts)))
@@ -164,12 +177,37 @@
                 items[position] = item
         self.set_encoded(encode_array(items))
 
+    def encode_failure(self) -> bytes:
+        """Returns the error that is true of all parts; empty if none has failed."""
+        denied_for_us = [
+            part.denied_for_us for part in self.parts if part.denied_for_us is not None
+        ]
+        for part in self.parts:
+            error = part.encoded or b""
+            if part.denied_for_us is None and error[:1] in ERROR_TYPES:
+                return error[:-2] + PARTS_NOTE.encode() + error[-2:]
+        if not denied_for_us:
+            return b""
+        if len(denied_for_us) < len(self.parts) and self.parts[0].is_write:
+            return encode_error(POSSIBLY_EXECUTED_ERROR + PARTS_NOTE)
+        return encode_denial(max(denied_for_us))
+
     def on_client_disconnect(self) -> None:
         """Notifies the pending requests of all parts that the client has closed."""
         for part in self.parts:
             part.on_client_disconnect()
 
 
+def encode_denial(retry_after_us: int) -> bytes:
+    r"""Returns the reply to a command that was denied; a write was not executed then.
+
+    >>> encode_denial(250_000), encode_denial(0)[-7:]
+    (b'-TRYAGAIN turned away, nothing was done; come back in 250 ms\r\n', b' done\r\n')
+    """
+    when = f"; come back in {retry_after_us // 1000} ms" if retry_after_us else ""
+    return encode_error(f"TRYAGAIN turned away, nothing was done{when}")
+
+
 def to_resp3(text: bytes) -> bytes:
     r"""Converts an answer from RESP 2 to RESP 3, which has a single form of null.
 
--- a/tests/resp/test_lost_answers.py
+++ b/tests/resp/test_lost_answers.py
@@ -15,6 +15,7 @@
 CLIENT_TIMEOUT_MS = 2_500
 LATENCY_OBJECTIVE_US = 300_000
 POSSIBLY_EXECUTED = b"-ERR given up, it may have run\r\n"
+PARTS_NOTE = b" (a part of several slots; others may have run)\r\n"
 
 
 def request_class(name, effect, scope="all"):
@@ -68,6 +69,11 @@
     server.answer = answer
 
 
+def refuse_commands(server):
+    """Has a server refuse all commands from now on, without running them."""
+    server.script = [b"-LOADING wait\r\n"] * 100
+
+
 def cut(cluster):
     run_then(cluster, 0, "cut")
 
@@ -185,3 +191,51 @@
     cut(cluster)
     reply = client.call(b"GET", key)
     assert reply == (b"$5\r\nvalue\r\n" if is_repeated else POSSIBLY_EXECUTED)
+
+
+def test_a_split_write_is_refused_as_not_done_only_if_no_part_may_have_run():
+    # One part was refused, so the reply was "TRYAGAIN turned away, nothing was done", though others had run.
+    cluster = make_cluster("fragile")
+    client = Client(cluster)
+    keys = [keys_of(cluster, number=number)[0] for number in range(3)]
+    for key in keys:
+        client.call(b"SET", key, b"1")
+    refuse_commands(cluster.servers[0])
+    reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
+    assert keys[1] not in cluster.servers[1].data
+    assert reply == POSSIBLY_EXECUTED[:-2] + PARTS_NOTE
+    for server in cluster.servers[1:]:
+        refuse_commands(server)
+    reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
+    assert reply.startswith(b"-TRYAGAIN turned away, nothing was done; come back in ")
+    assert PARTS_NOTE not in reply, "no part has run"
+
+
+def test_a_split_write_with_a_lost_and_a_refused_part_may_have_run():
+    # The reply was that of the first part that failed: here the refusal.
+    cluster = make_cluster("fragile")
+    client = Client(cluster)
+    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    refuse_commands(cluster.servers[0])
+    run_then(cluster, 1, "cut")
+    reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
+    assert reply == POSSIBLY_EXECUTED[:-2] + PARTS_NOTE
+
+
+def test_a_split_write_shows_the_error_of_a_server_before_a_refusal():
+    cluster = make_cluster("fragile")
+    client = Client(cluster)
+    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    refuse_commands(cluster.servers[0])
+    cluster.servers[1].script = [b"-OOM no memory\r\n"]
+    reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
+    assert reply == b"-OOM no memory" + PARTS_NOTE
+
+
+def test_a_split_read_of_which_a_part_is_refused_may_be_retried():
+    cluster = make_cluster("fragile")
+    client = Client(cluster)
+    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    refuse_commands(cluster.servers[0])
+    reply = client.call(b"MGET", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
+    assert reply.startswith(b"-TRYAGAIN turned away, nothing was done; come back in ")
