RESP: a connection in use ends in a drain, and all that was read is answered

Cause: a connection was let go only when no reply was due on it. The last answers reached only commands with an exchange, not those that wait behind others of their slot or server. Where a successor accepts, RESP connections counted as migrating, and they cannot migrate.

Fix: from the time on at which idle connections are closed, commands that are read are denied in their place; when nothing before them is due, what has arrived is read and answered in one write, and the connection ends. At the last answers what was never forwarded is denied.

--- a/orchidgap/decisions/lifecycle.py
+++ b/orchidgap/decisions/lifecycle.py
@@ -210,10 +210,12 @@
 
     def closes_idle(self, now: int) -> bool:
         """Returns whether connections without a request are closed."""
+        return not self.migrates_connections and self.ends_connections(now)
+
+    def ends_connections(self, now: int) -> bool:
+        """Returns whether a connection that cannot migrate ends as soon as nothing is due on it."""
         limit_us = self.rules.closes_idle_after_us
-        if limit_us is None or self.migrates_connections:
-            return False
-        return now - self.since_us >= limit_us
+        return limit_us is not None and now - self.since_us >= limit_us
 
     def must_answer_all(self, now: int) -> bool:
         """Returns whether every open request has to be answered now, before the process exits.
--- a/orchidgap/net/client_connection.py
+++ b/orchidgap/net/client_connection.py
@@ -55,6 +55,18 @@
         """Handle that the client has disconnected, so that its requests need no answer."""
         raise NotImplementedError
 
+    def end_when_answered(self) -> None:
+        """End the connection as soon as what was read is answered; called repeatedly in a drain.
+
+        Nothing to do for a protocol whose every answer is the last one in a drain.
+        """
+
+    def deny_waiting(self) -> None:
+        """Answer the requests that were read and not passed to the handler, as the process ends.
+
+        Nothing to do for a protocol that passes one request of a connection at a time.
+        """
+
     # --- the same for all protocols
 
     def on_connected(self) -> None:
--- a/orchidgap/net/client_table.py
+++ b/orchidgap/net/client_table.py
@@ -164,6 +164,16 @@
             ):
                 client.close_unless_unread(ConnectionEnd.SHUTDOWN)
 
+    def end_when_answered(self) -> None:
+        """Have each connection end once what was read is answered, though more may arrive."""
+        for client in list(self.open_clients):
+            client.end_when_answered()
+
+    def deny_waiting(self) -> None:
+        """Answer the requests that were read and not passed to the handler, in all connections."""
+        for client in list(self.open_clients):
+            client.deny_waiting()
+
     # --- queries
 
     def transferable(self) -> list[ClientConnection]:
--- a/orchidgap/net/node_lifecycle.py
+++ b/orchidgap/net/node_lifecycle.py
@@ -100,11 +100,14 @@
             return
         if not lifecycle.accepts_connections(now):
             self.clients.close_listener()
+        if lifecycle.ends_connections(now):
+            self.clients.end_when_answered()
         if lifecycle.closes_idle(now):
             self.clients.release_idle()
             if not self.clients.open_clients and not self.exchanges:
                 self.transition(LifecycleEvent.EMPTY)
         if lifecycle.must_answer_all(now):
+            self.clients.deny_waiting()
             for exchange in [each for each in self.exchanges.values() if not each.closed]:
                 exchange.on_deadline()
         # a client stays open while one of its requests is open or it has to read an answer
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -109,6 +109,10 @@
             body = to_resp3(body)
         self.set_encoded(body)
 
+    def unforwarded(self) -> list[Reply]:
+        """Returns the replies of commands, or of parts of this one, that were not forwarded yet."""
+        return [self] if self.forward else []
+
     def on_client_disconnect(self) -> None:
         """Notifies the pending request that the client has closed its connection."""
         if self.pending_request:
@@ -192,6 +196,10 @@
             return encode_error(POSSIBLY_EXECUTED_ERROR + PARTS_NOTE)
         return encode_denial(max(denied_for_us))
 
+    def unforwarded(self) -> list[Reply]:
+        """Returns the parts that were not forwarded yet."""
+        return [part for part in self.parts if part.forward]
+
     def on_client_disconnect(self) -> None:
         """Notifies the pending requests of all parts that the client has closed."""
         for part in self.parts:
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -3,6 +3,10 @@
 Commands of one connection may be pipelined. Commands for different slots are in flight at the same
 time. Commands for one slot keep their order, and only reads may be in flight together. While a
 command waits for a server without capacity, later ones for the same server are delayed.
+
+A client that pipelines may always have a command without a reply, so in a drain its connection ends
+between two replies: commands that are read from some time on are denied, and once those before them
+are answered nothing is due.
 """
 
 from __future__ import annotations
@@ -13,6 +17,7 @@
 
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
+from orchidgap.net.loop import READ
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
 from orchidgap.resp.config import RespConfig
 from orchidgap.resp.local_commands import LOCAL_COMMANDS, OK, slot_of_key
@@ -29,6 +34,8 @@
 REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
 WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether a client reads its replies again
 MAX_SHOWN_BYTES = 60  # length limit of a command name in an error reply
+MAX_FINAL_READS = 16  # reads before a connection ends, so that a flood cannot prevent the end
+SERVICE_UNAVAILABLE = 503
 COMMANDS_BEFORE_LOGIN = (b"AUTH", b"HELLO", b"QUIT", b"RESET")
 REJECTIONS = {
     408: "ERR a command that does not end",
@@ -52,6 +59,9 @@
         smoothed_reply_bytes: moving average of the reply size.
         waiting_by_owner: the reply of the last forwarded command that had to wait, by server.
         command_count: commands for servers so far, counting each part of a split command.
+        holds_replies: replies are not written for the moment.
+        is_ending: commands that are read from now on are denied, and the connection ends as soon
+            as no reply is outstanding.
     """
 
     __slots__ = (
@@ -59,7 +69,9 @@
         "command_count",
         "config",
         "delayed_by_owner",
+        "holds_replies",
         "in_flight_by_slot",
+        "is_ending",
         "reader",
         "replies",
         "session",
@@ -81,6 +93,8 @@
         self.capacity_freed_at_us = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
+        self.holds_replies = False
+        self.is_ending = False
         super().__init__(listener, sock)
 
     # --- called by the listener
@@ -116,6 +130,20 @@
         """Returns whether no reply is outstanding and no received bytes are unread."""
         return not self.replies and super().is_idle()
 
+    def end_when_answered(self) -> None:
+        """Denies commands that are read from now on, and ends between two replies."""
+        self.is_ending = True
+        self.finish_if_answered()
+
+    def deny_waiting(self) -> None:
+        """Denies the commands that wait for others of their slot or server, and all later ones."""
+        self.is_ending = True
+        self.delayed_by_owner = {}
+        waiting = [part for reply in self.replies for part in reply.unforwarded()]
+        for reply in waiting:
+            reply.forward = None
+            self.deny(reply)
+
     # --- called by replies
 
     @property
@@ -129,6 +157,11 @@
         return self.conn.received_at_us
 
     def on_reply(self, reply: Reply) -> None:
+        """Writes the encoded replies up to the first unanswered command."""
+        if not self.holds_replies:
+            self.write_replies()
+
+    def write_replies(self) -> None:
         """Writes the encoded replies up to the first unanswered command."""
         ready = []
         while self.replies and self.replies[0].encoded is not None:
@@ -203,6 +236,8 @@
             self.finish()
         elif self.replies:
             return
+        elif self.is_ending:
+            self.listener.loop.call_soon(self.finish_if_answered)
         elif self.listener.closes_after_answer and not self.has_input():
             self.finish()
         elif self.reader.unread_bytes():
@@ -213,6 +248,33 @@
             self.listener.idle[self] = None
             self.listener.trim_idle()
 
+    def finish_if_answered(self) -> None:
+        """Ends the connection if all that has arrived is answered, and no command is incomplete.
+
+        What has arrived by now is read and answered first, in one write right before the end: a
+        client that writes a command for each reply would otherwise always have written one more.
+        """
+        if self.replies or not self.conn.is_open or self.conn.closing:
+            return
+        if self in self.listener.awaiting_request:  # its first command, or the rest of one, is due
+            return
+        self.holds_replies = True
+        read_up_to_us = self.read_arrived()
+        self.holds_replies = False
+        self.write_replies()
+        is_answered = not (self.replies or self.reader.unread_bytes())
+        if is_answered and self.conn.is_open and not self.conn.closing:
+            self.finish(read_up_to_us)
+
+    def read_arrived(self) -> int:
+        """Reads the bytes that have arrived; returns up to when, or 0 if some may be left."""
+        for _ in range(MAX_FINAL_READS):
+            read_up_to_us = self.listener.loop.clock()
+            if not self.conn.has_unread_bytes():
+                return read_up_to_us
+            self.conn.on_ready(READ)
+        return 0
+
     def has_input(self) -> bool:
         """Returns whether a partial command is buffered or the socket has unread bytes."""
         return bool(self.reader.unread_bytes()) or self.conn.has_unread_bytes()
@@ -284,6 +346,9 @@
         self, reply: Reply, command: Command, words: list[bytes], key: bytes, slot: int
     ) -> None:
         """Forwards a command for one slot as soon as earlier commands permit it."""
+        if self.is_ending:
+            self.deny(reply)
+            return
         self.command_count += 1
         request_id = b"%d-%d" % (self.session.number, self.command_count)
         request_class = self.config.write_class if command.is_write else self.config.read_class
@@ -307,6 +372,12 @@
         in_flight.append(reply)
         self.forward_if_allowed(in_flight, reply)
 
+    def deny(self, reply: Reply) -> None:
+        """Answers a command that was not forwarded: nothing was done, and it may be sent again."""
+        self.listener.counts.rejections[SERVICE_UNAVAILABLE] += 1
+        retry_after_us = self.listener.handler.rejection_retry_after_us()
+        reply.answer(SERVICE_UNAVAILABLE, retry_after_us=retry_after_us)
+
     def forward_if_allowed(self, in_flight: list[Reply], reply: Reply) -> None:
         """Forwards a command, unless an earlier one for its slot has to be answered first."""
         earlier = in_flight[: in_flight.index(reply)]
--- a/tests/resp/resp_harness.py
+++ b/tests/resp/resp_harness.py
@@ -1,5 +1,7 @@
 """A RESP node and scripted slot servers on the virtual network."""
 
+from collections import deque
+
 from orchidgap.net import config
 from orchidgap.net.connection import Connection
 from orchidgap.net.node import Node
@@ -42,9 +44,11 @@
     """A slot server that sends the replies in `script` first, and then acts as a key-value store.
 
     An entry of `script` is a reply, a function of the command's words that returns a reply, "cut"
-    to close the connection, or None to send nothing.
+    to close the connection, or None to send nothing. Replies are sent after `latency_us`.
     """
 
+    latency_us = 0
+
     def __init__(self, cluster, number):
         self.cluster, self.address = cluster, (f"127.2.0.{number}", 7000)
         self.name = f"127.2.0.{number}:7000"
@@ -81,7 +85,7 @@
 
 class ServerConnection:
     def __init__(self, server, sock):
-        self.server, self.reader = server, RespReader()
+        self.server, self.reader, self.loop = server, RespReader(), server.cluster.network.loop
         self.conn = Connection(server.cluster.network.loop, sock, self)
 
     def on_connected(self): ...
@@ -92,9 +96,15 @@
             reply = self.server.answer(words)
             if reply == "cut":
                 self.conn.close()
+            elif reply is not None and self.server.latency_us:
+                self.loop.call_later(self.server.latency_us, self.send, reply)
             elif reply is not None:
                 self.conn.send(reply)
 
+    def send(self, reply):
+        if self.conn.is_open:
+            self.conn.send(reply)
+
     def on_closed(self, reason): ...
 
 
@@ -124,6 +134,42 @@
         return self.send(encode_command(*words), wait_us)
 
 
+class PipeliningClient(Client):
+    """Keeps `depth` commands without a reply on one connection for as long as that stays open.
+
+    Attributes:
+        sent_at_us: when each command without a reply was sent, in order.
+        replies: the replies, in order.
+        ended_at_us: when the connection ended; 0 while it is open.
+    """
+
+    def __init__(self, cluster, words, depth):
+        super().__init__(cluster)
+        self.words, self.depth, self.reader = words, depth, RespReader()
+        self.sent_at_us, self.replies, self.ended_at_us = deque(), [], 0
+        self.fill()
+
+    def fill(self):
+        while len(self.sent_at_us) < self.depth and self.conn.is_open and not self.ended_at_us:
+            self.sent_at_us.append(self.cluster.network.loop.time)
+            self.conn.send(encode_command(*self.words))
+
+    def on_data(self, view):
+        self.reader.feed(view)
+        while (reply := self.reader.read_item()) is not None:
+            self.sent_at_us.popleft()
+            self.replies.append(reply)
+        self.fill()
+
+    def on_closed(self, reason):
+        super().on_closed(reason)
+        self.ended_at_us = self.cluster.network.loop.time
+
+    def lost_commands(self, crossing_us):
+        """Returns how many commands had no reply, sent this long before the connection ended."""
+        return sum(sent_at_us < self.ended_at_us - crossing_us for sent_at_us in self.sent_at_us)
+
+
 class RespCluster:
     """A node and `servers` slot servers, which own equal parts of the slots.
 
