RESP: a connection that rests keeps nothing of its last large command or answer

Cause: RespReader dropped bytes that it had read only as the next ones came, on clients' and servers' connections. `waiting_by_owner` kept the reply that had last waited for a server, with its answer.

Evidence: tests/resp/test_resp_memory.py counts the bytes that a connection reaches; all 4 failed before (952,968 bytes after a write; 900,346 and 952,822 after two large answers).

Fix: what is read is dropped at once where nothing follows it or it is over 64 KiB; an answered reply is forgotten as the one that waits.

Left: large commands under way at the same time are not counted yet (by reckoning, not run).

--- a/orchidgap/resp/reader.py
+++ b/orchidgap/resp/reader.py
@@ -20,6 +20,9 @@
 )
 
 ARRAY = ord("*")
+# Bytes that were read are dropped from the buffer when there are more of them: dropping them after
+# each of many small items would copy the rest every time.
+MAX_READ_BYTES_KEPT = 1 << 16
 
 
 class RespReader:
@@ -106,13 +109,16 @@
                 self.error = "too big inline request"
             return None
         line = bytes(memoryview(self.buffer)[self.position : end])
-        self.position = end + 1
+        self.advance(end + 1)
         return line.split()
 
     def advance(self, end: int) -> None:
-        """Marks the buffer as read up to `end`."""
+        """Marks the buffer as read up to `end`, and releases what a large item has occupied."""
         self.position = end
         self.bytes_needed = 0
+        if end == len(self.buffer) or end > MAX_READ_BYTES_KEPT:
+            del self.buffer[:end]
+            self.position = 0
 
     def unread_bytes(self) -> int:
         """Returns the number of bytes that have arrived and were not read."""
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -186,9 +186,17 @@
             self.listener.loop.call_soon(self.forward_next, reply.slot)
         else:
             self.in_flight_by_slot.pop(reply.slot, None)
+        self.forget_waiting(reply)
         if self.delayed_by_owner:
             self.listener.loop.call_soon(self.forward_delayed)
 
+    def forget_waiting(self, reply: Reply) -> None:
+        """Forgets an answered reply as the one that waits for its server; it may hold much."""
+        for owner, waiting in self.waiting_by_owner.items():
+            if waiting is reply:
+                del self.waiting_by_owner[owner]
+                return
+
     # --- commands
 
     def on_data(self, view: memoryview) -> None:
--- /dev/null
+++ b/tests/resp/test_resp_memory.py
@@ -0,0 +1,97 @@
+"""A connection that rests holds little memory, whatever it carried before."""
+
+import sys
+
+import pytest
+from resp_harness import Client, RespCluster
+
+from orchidgap.resp.local_commands import slot_of_key
+from orchidgap.resp.reader import RespReader
+from orchidgap.resp.writers import encode_bulk, encode_command
+
+VALUE = b"v" * 900_000
+MAX_RESTING_BYTES = 128 << 10  # what the budget counts for a client, with all that is its own
+
+
+def held_bytes(root, excluded):
+    """Returns the size of the bytes that are reachable from an object through the program's own."""
+    seen, waiting, total = set(map(id, excluded)), [root], 0
+    while waiting:
+        item = waiting.pop()
+        if id(item) in seen:
+            continue
+        seen.add(id(item))
+        if isinstance(item, (bytes, bytearray)):
+            total += sys.getsizeof(item)
+        elif isinstance(item, dict):
+            waiting += [*item.keys(), *item.values()]
+        elif isinstance(item, (list, tuple, set)) or type(item).__name__ == "deque":
+            waiting += item
+        elif type(item).__module__.startswith("orchidgap"):
+            names = [name for kind in type(item).__mro__ for name in getattr(kind, "__slots__", ())]
+            waiting += [getattr(item, name) for name in names if hasattr(item, name)]
+            waiting += getattr(item, "__dict__", {}).values()
+        elif hasattr(item, "func"):  # a partial call
+            waiting += [item.func, *item.args, *item.keywords.values()]
+        elif hasattr(item, "__self__"):
+            waiting.append(item.__self__)
+    return total
+
+
+def resting_bytes(cluster):
+    """Returns what the clients' and the servers' connections hold."""
+    node = cluster.node
+    shared = [cluster, node, node.loop, node.clients, node.pools, node.balancer, node.config]
+    connections = [*node.clients.open_clients]
+    for pool in node.pools.by_host.values():
+        connections += pool.connections
+        shared.append(pool)
+    return [held_bytes(connection, shared) for connection in connections]
+
+
+def test_a_reader_keeps_nothing_of_what_was_read():
+    reader = RespReader()
+    for _ in range(3):
+        command = encode_command(b"SET", b"k", VALUE)
+        for offset in range(0, len(command), 60_000):
+            reader.feed(command[offset : offset + 60_000])
+        assert reader.read_command() == [b"SET", b"k", VALUE]
+        assert sys.getsizeof(reader.buffer) < 1_000
+    reader.feed(command + b"*2\r\n")
+    assert reader.read_command() and reader.read_command() is None
+    reader.feed(b"$3\r\nGET\r\n")
+    assert sys.getsizeof(reader.buffer) < 1_000
+
+
+@pytest.mark.parametrize("in_pieces", [False, True])
+def test_connections_that_rest_keep_nothing_of_a_large_write(in_pieces):
+    # Each kept the buffer of its last command, up to 1 MiB, and the process was killed over its memory.
+    cluster = RespCluster()
+    for number in range(5):
+        client, command = Client(cluster), encode_command(b"SET", b"k%d" % number, VALUE)
+        step = 50_000 if in_pieces else len(command)
+        replies = [
+            client.send(command[offset : offset + step]) for offset in range(0, len(command), step)
+        ]
+        assert replies[-1] == b"+OK\r\n"
+    cluster.advance(100_000)
+    assert len(resting_bytes(cluster)) > 5
+    assert max(resting_bytes(cluster)) < MAX_RESTING_BYTES
+
+
+def test_connections_that_rest_keep_nothing_of_a_large_answer():
+    # The reply that last waited for a server stayed with its connection.
+    cluster = RespCluster()
+    server = cluster.servers[0]
+    server.latency_us = 5_000
+    keys = [b"k%d" % number for number in range(100)]
+    first, second = [key for key in keys if cluster.owner(slot_of_key(key)) is server][:2]
+    server.data = {first: VALUE, second: VALUE}
+    client = Client(cluster)
+    client.call(b"GET", first)
+    cluster.node.balancer.hosts[server.name].concurrency_limit = 1.0
+    replies = client.send(encode_command(b"GET", first) + encode_command(b"GET", second))
+    assert replies == encode_bulk(VALUE) * 2
+    cluster.advance(3_000_000)
+    assert not cluster.node.exchanges
+    assert max(resting_bytes(cluster)) < MAX_RESTING_BYTES
