RESP: a slot server that a whole list leaves out has gone, and gets nothing

Cause: a whole list reset all states, and a server that is in the slot map and in no list counts as ready.

Fix: an address that discovery has listed counts as draining while no list has it. One that was never listed counts as ready, as before; that has a test and is written down.

--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -18,6 +18,7 @@
 
 CHECK_INTERVAL_US = 100_000
 MAX_MAP_BYTES = 1 << 22  # sufficient if each of the 16,384 slots is a range of its own
+MAX_GONE_ADDRESSES = 1_024  # addresses that are remembered though no host is listed there any more
 ANSWER_TIMEOUT_US = 1_000_000  # limit for a server to return its slot map
 CLUSTER_SLOTS = encode_command(b"CLUSTER", b"SLOTS")
 READY = "up"
@@ -86,7 +87,7 @@
         secret: arguments of AUTH; empty if the servers require no authentication.
         seeds: the configured servers, by name.
         servers: all servers from the slot map, seeds, redirections and discovery, by name.
-        states: the state of each address according to discovery, if a discovery is configured.
+        states: the state of each address that discovery has listed, now or before.
         addresses: the last address of each host in discovery's lists, by discovery's host id.
         reported_states: the states last reported to the node, by server name.
         refresh_count: slot map requests so far; selects the server for the next one (round robin).
@@ -151,11 +152,7 @@
         host that has gone has no address, so the address from an earlier list is used.
         """
         if is_whole:
-            listed = {endpoint.host for endpoint in endpoints}
-            self.states = {}
-            self.addresses = {
-                host: address for host, address in self.addresses.items() if host in listed
-            }
+            self.forget_absent({endpoint.host for endpoint in endpoints})
         for endpoint in endpoints:
             self.record_state(endpoint)
         for entry, (_, state, address) in zip(entries, endpoints):
@@ -164,6 +161,21 @@
                 self.servers.setdefault(format_address(address), address)
         self.report_servers()
 
+    def forget_absent(self, listed: set[str]) -> None:
+        """Forgets the hosts that a whole list does not have: they have gone.
+
+        Their addresses count as draining from then on, see `record_state`, until they are listed
+        again. An address that was never listed has no state: its server counts as ready.
+        """
+        self.states = dict.fromkeys(self.states, DRAINING)
+        self.addresses = {
+            host: address for host, address in self.addresses.items() if host in listed
+        }
+        listed_addresses = set(self.addresses.values())
+        unlisted = [address for address in self.states if address not in listed_addresses]
+        for address in unlisted[: max(0, len(unlisted) - MAX_GONE_ADDRESSES)]:
+            del self.states[address]
+
     def record_state(self, endpoint: Endpoint) -> None:
         """Records the state of an address, which is the state of the host last listed there.
 
--- a/tests/resp/test_slot_discovery.py
+++ b/tests/resp/test_slot_discovery.py
@@ -68,3 +68,33 @@
     scenario.net.turn()
     replies = received_text(scenario.clients[0]) or ""
     assert replies.count("-TRYAGAIN") == 3
+
+
+@pytest.mark.parametrize("lists_after", [1, 3])
+@pytest.mark.parametrize("health_before", ["Ready", "Terminating"])
+def test_a_server_that_a_whole_list_leaves_out_is_sent_nothing(health_before, lists_after):
+    # It had been listed, so it has gone; the list without it made it count as ready again.
+    scenario = StalledCommandScenario(0, 2_000)
+    others = [scenario.net.host_entry(1)]
+    entries = [scenario.net.host_entry(0, health_before), *others]
+    push_host_list(scenario.net, 42, False, entries)
+    for number in range(lists_after):
+        push_host_list(scenario.net, 43 + number, True, others)
+    scenario.send_command(1)
+    scenario.net.turn()
+    assert scenario.sent_commands() == []
+    push_host_list(scenario.net, 50, True, [scenario.net.host_entry(0), *others])
+    scenario.send_command(2)
+    scenario.net.turn()
+    assert scenario.sent_commands()
+
+
+def test_a_server_that_was_never_listed_is_sent_commands():
+    # The servers' own map may name one before discovery does.
+    scenario = StalledCommandScenario(0, 2_000)
+    scenario.net.node.discovery.states.clear()
+    scenario.net.node.discovery.addresses.clear()
+    push_host_list(scenario.net, 42, True, [scenario.net.host_entry(1)])
+    scenario.send_command(1)
+    scenario.net.turn()
+    assert scenario.sent_commands()
