RESP: QUIT and protocol errors end a connection after the replies before them

Cause: both ended the connection as soon as they were read.

Fix: after the last command nothing more is handled or read; the connection ends once all replies are written.

--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -60,6 +60,8 @@
         waiting_by_owner: the reply of the last forwarded command that had to wait, by server.
         command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
+        has_last_command: no more commands are handled, after QUIT or a protocol error, and the
+            connection ends once the outstanding replies are written.
         is_ending: commands that are read from now on are denied, and the connection ends as soon
             as no reply is outstanding.
     """
@@ -69,6 +71,7 @@
         "command_count",
         "config",
         "delayed_by_owner",
+        "has_last_command",
         "holds_replies",
         "in_flight_by_slot",
         "is_ending",
@@ -93,6 +96,7 @@
         self.capacity_freed_at_us = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
+        self.has_last_command = False
         self.holds_replies = False
         self.is_ending = False
         super().__init__(listener, sock)
@@ -173,10 +177,19 @@
         self.requests_answered += len(ready)
         if ready and self.conn.is_open:
             self.conn.send(b"".join(ready))
+        if self.has_last_command:
+            self.finish_after_last_command()
+            return
         may_resume = self.conn.read_paused or not self.replies
         if self.conn.is_open and not self.conn.closing and may_resume:
             self.listener.loop.call_soon(self.process_input)
 
+    def finish_after_last_command(self) -> None:
+        """Ends the connection if its last command and all earlier ones are answered."""
+        if not self.replies:
+            self.conn.pause_reading(False)  # to notice when the client closes
+            self.finish()
+
     def on_forwarded_reply(self, reply: Reply) -> None:
         """Schedules the forwarding of commands that the answered one has blocked."""
         in_flight = self.in_flight_by_slot.get(reply.slot, [])
@@ -207,6 +220,9 @@
 
     def process_input(self) -> None:
         """Handles received commands until the limits on outstanding replies are reached."""
+        if self.has_last_command:
+            self.conn.pause_reading(bool(self.replies))
+            return
         while self.conn.is_open and not self.conn.closing:
             if len(self.conn.write_buffer) > MAX_QUEUED_BYTES:
                 # No event reports that the client reads again, so the buffer is polled.
@@ -223,6 +239,9 @@
                 self.listener.awaiting_request.pop(self, None)
                 self.requests_read += 1
                 self.handle_command(words)
+            if self.has_last_command:
+                self.conn.pause_reading(bool(self.replies))
+                return
         self.conn.pause_reading(False)
         if self.conn.is_open and not self.conn.closing:
             self.after_input()
@@ -238,10 +257,11 @@
         Called when all complete commands have been handled.
         """
         if self.reader.error:
+            self.has_last_command = True
             reply = Reply(self)
             self.replies.append(reply)
             reply.set_encoded(encode_error(f"ERR Protocol error: {self.reader.error}"))
-            self.finish()
+            self.conn.pause_reading(bool(self.replies))
         elif self.replies:
             return
         elif self.is_ending:
@@ -319,7 +339,7 @@
     def run_local(self, name: bytes, words: list[bytes]) -> bytes | None:
         """Returns the reply to a command that needs no host, or None for any other command."""
         if name == b"QUIT":
-            self.listener.loop.call_soon(self.finish)
+            self.has_last_command = True
             return OK
         if name == b"INFO":
             return encode_bulk(
