A setting over 10^15 is refused by name before anything is taken

Cause: settings had no upper bound, and the log line holds whole numbers of 64 bits. `connect-timeout` and `conn-idle` were read by a second function, whose error named no field.

Evidence: ten new cases in test_settings and test_reload failed before.

Fix: one bound for all numbers, at the one place that reads them; the two timeouts are read there too, and the second function is gone.

--- a/orchidgap/decisions/settings.py
+++ b/orchidgap/decisions/settings.py
@@ -60,6 +60,10 @@
 CACHE_ASIDE_MODE = "aside"
 SUBSCRIBE_MODE = "subscribe"
 
+# Larger numbers are rejected: logs and sums of times hold whole numbers of 64 bits. As a time it is
+# 31 years.
+MAX_NUMBER = 1e15
+
 # Defaults of settings that are missing.
 DEFAULT_SUBSCRIBE_WITHIN_US = 10_000_000
 DEFAULT_MAX_ATTEMPTS = 3
@@ -220,9 +224,21 @@
         if text is None:
             return float(default)
         try:
-            return float(text)
+            value = float(text)
         except ValueError:
             raise SettingError.unusable(path, repr(text), "must be a number") from None
+        if MAX_NUMBER < abs(value) < inf:
+            raise SettingError.unusable(path, f"{value:g}", f"must be at most {MAX_NUMBER:g}")
+        return value
+
+
+def positive_integer_setting(pairs: Mapping[str, str], path: str, default: int) -> int:
+    """Return one setting that must be 1 or more. Raises SettingError.
+
+    >>> positive_integer_setting({"a": "7"}, "a", 1), positive_integer_setting({}, "a", 1)
+    (7, 1)
+    """
+    return _SettingValues(pairs).positive_integer(path, default)
 
 
 def _request_classes(values: _SettingValues) -> dict[str, RequestClass]:
--- a/orchidgap/net/config/reading.py
+++ b/orchidgap/net/config/reading.py
@@ -13,7 +13,7 @@
 import orjson
 
 from orchidgap.decisions import config_compatibility
-from orchidgap.decisions.settings import ServiceSettings
+from orchidgap.decisions.settings import ServiceSettings, positive_integer_setting
 from orchidgap.errors import ConfigError, SettingError
 from orchidgap.net.addresses import Address, parse_address
 from orchidgap.net.config.model import BalancerConfig
@@ -96,10 +96,12 @@
         seed=int(str(document.get("seed") or 0), 16),
         memory_mb=int(limits.get("memory_mb") or DEFAULT_MEMORY_MB),
         settings=settings,
-        connect_timeout_us=positive_setting(
+        connect_timeout_us=positive_integer_setting(
             pairs, "ceilings.connect-timeout", DEFAULT_CONNECT_TIMEOUT_US
         ),
-        idle_timeout_us=positive_setting(pairs, "ceilings.conn-idle", DEFAULT_IDLE_TIMEOUT_US),
+        idle_timeout_us=positive_integer_setting(
+            pairs, "ceilings.conn-idle", DEFAULT_IDLE_TIMEOUT_US
+        ),
         resp=document.get("resp"),
         admin=admin_address(document),
         shadow_settings=shadow_settings(document.get("watch"), pairs, settings),
@@ -148,11 +150,3 @@
     """Return the address for operators' commands: the file's, or else that of GW_ADMIN_ADDR."""
     text = document.get("admin_addr") or os.environ.get("GW_ADMIN_ADDR")
     return parse_address(text) if text else None
-
-
-def positive_setting(pairs: Mapping[str, str], path: str, default: int) -> int:
-    """Return a setting that must be above 0. Raises SettingError."""
-    value = int(pairs.get(path, default))
-    if value <= 0:
-        raise SettingError(f"setting {path} is {value}, and must be over 0")
-    return value
--- a/tests/decisions/test_settings.py
+++ b/tests/decisions/test_settings.py
@@ -23,6 +23,10 @@
         ("rule-sets.0.name", "", "''", "must be a name of its own"),
         ("rule-sets.0.effect", "none", "'none'", "must be one of retryable, dedup, fragile"),
         ("guarantees.warm-after", "nan", "nan", "must not be under 0"),
+        ("ceilings.most-dispatches", "1e308", "1e+308", "must be at most 1e+15"),
+        ("ceilings.most-dispatches", "1" + "0" * 30, "1e+30", "must be at most 1e+15"),
+        ("guarantees.cold-from", "1e16", "1e+16", "must be at most 1e+15"),
+        ("rule-sets.0.client-timeout", "1e16", "1e+16", "must be at most 1e+15"),
         ("ceilings.may-cancel", "yes", "'yes'", "must be one of true, 1, false, 0"),
     ],
 )
--- a/tests/net/test_reload.py
+++ b/tests/net/test_reload.py
@@ -211,6 +211,29 @@
     assert received_text(fresh).startswith("HTTP/1.1 503"), "a single attempt"
 
 
+@pytest.mark.parametrize("path", ["most-dispatches", "connect-timeout", "conn-idle"])
+@pytest.mark.parametrize("number", [1e308, 1e16])
+def test_a_number_too_large_for_the_log_is_rejected_before_anything_is_taken(
+    tmp_path, path, number
+):
+    """The settings were taken and the line that tells so could not be written, nor was a new address
+    of discovery in the same file followed.
+    """
+    file, net = tmp_path / "c", NodeHarness()
+    file.write_bytes(orjson.dumps(CONFIG_FILE))
+    net.node.config = config.read(str(file))
+    before = net.node.config
+    document = copy.deepcopy(CONFIG_FILE) | {"discovery": "127.0.0.1:8501"}
+    document["settings"]["ceilings"][path] = number
+    file.write_bytes(orjson.dumps(document))
+    events = []
+    net.node.event_log = lambda event, **facts: events.append((event, facts["why"]))
+    reload_config(net.node, str(file))
+    [(event, why)] = events
+    assert event == "config rejected" and f"ceilings.{path} is {number:g}" in why
+    assert net.node.config is before
+
+
 def test_settings_that_need_a_restart_are_logged_and_keep_their_values(tmp_path):
     """A new file changes the listen address and the limits. They keep their values until a
     restart, and the log names them.
