--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -1,8 +1,6 @@
 """Connections from RESP clients, which get their replies in the order of their commands.
 
-Commands of one connection may be pipelined. Commands for different slots are in flight at the same
-time. Commands for one slot keep their order, and only reads may be in flight together. While a
-command waits for a server without capacity, later ones for the same server are delayed.
+Commands of one connection may be pipelined; `command_scheduler` forwards them.
 
 A client that pipelines may always have a command without a reply, so in a drain its connection ends
 between two replies: commands that are read from some time on are denied, and once those before them
@@ -18,6 +16,7 @@
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.loop import READ
+from orchidgap.resp.command_scheduler import CommandScheduler
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
 from orchidgap.resp.config import RespConfig
 from orchidgap.resp.local_commands import LOCAL_COMMANDS, OK, slot_of_key
@@ -51,13 +50,9 @@
         session: user, client name and protocol version.
         reader: the parser of received bytes.
         replies: replies that are not written yet, in the order of their commands.
-        in_flight_by_slot: replies of unanswered commands for servers, by slot, in order; includes
-            commands that are not forwarded yet.
-        delayed_by_owner: replies of commands that are delayed while an earlier one waits for the
-            same server, by server.
+        scheduler: forwards commands to servers in their order.
         capacity_freed_at_us: when written replies last freed capacity for further commands.
         smoothed_reply_bytes: moving average of the reply size.
-        waiting_by_owner: the reply of the last forwarded command that had to wait, by server.
         command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
@@ -70,16 +65,14 @@
         "capacity_freed_at_us",
         "command_count",
         "config",
-        "delayed_by_owner",
         "has_last_command",
         "holds_replies",
-        "in_flight_by_slot",
         "is_ending",
         "reader",
         "replies",
+        "scheduler",
         "session",
         "smoothed_reply_bytes",
-        "waiting_by_owner",
     )
 
     def __init__(
@@ -90,9 +83,7 @@
         self.session = Session(config, number)
         self.reader = RespReader()
         self.replies: deque[Reply] = deque()
-        self.in_flight_by_slot: dict[int, list[Reply]] = {}
-        self.delayed_by_owner: dict[str, deque[Reply]] = {}
-        self.waiting_by_owner: dict[str, Reply] = {}
+        self.scheduler = CommandScheduler(listener.loop, listener.handler.slot_owner)
         self.capacity_freed_at_us = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
@@ -125,8 +116,7 @@
         """Discards the client's commands after it has disconnected."""
         replies = list(self.replies)
         self.replies = deque()
-        self.in_flight_by_slot = {}
-        self.delayed_by_owner = {}
+        self.scheduler.close()
         for reply in replies:
             reply.on_client_disconnect()
 
@@ -142,7 +132,6 @@
     def deny_waiting(self) -> None:
         """Denies the commands that wait for others of their slot or server, and all later ones."""
         self.is_ending = True
-        self.delayed_by_owner = {}
         waiting = [part for reply in self.replies for part in reply.unforwarded()]
         for reply in waiting:
             reply.forward = None
@@ -191,24 +180,8 @@
             self.finish()
 
     def on_forwarded_reply(self, reply: Reply) -> None:
-        """Schedules the forwarding of commands that the answered one has blocked."""
-        in_flight = self.in_flight_by_slot.get(reply.slot, [])
-        if reply in in_flight:
-            in_flight.remove(reply)
-        if in_flight:
-            self.listener.loop.call_soon(self.forward_next, reply.slot)
-        else:
-            self.in_flight_by_slot.pop(reply.slot, None)
-        self.forget_waiting(reply)
-        if self.delayed_by_owner:
-            self.listener.loop.call_soon(self.forward_delayed)
-
-    def forget_waiting(self, reply: Reply) -> None:
-        """Forgets an answered reply as the one that waits for its server; it may hold much."""
-        for owner, waiting in self.waiting_by_owner.items():
-            if waiting is reply:
-                del self.waiting_by_owner[owner]
-                return
+        """Lets the commands be forwarded that the answered one has blocked."""
+        self.scheduler.on_answered(reply)
 
     # --- commands
 
@@ -396,63 +369,10 @@
             slot,
             idempotency=command.idempotency,
         )
-        in_flight = self.in_flight_by_slot.setdefault(slot, [])
-        in_flight.append(reply)
-        self.forward_if_allowed(in_flight, reply)
+        self.scheduler.add(reply)
 
     def deny(self, reply: Reply) -> None:
         """Answers a command that was not forwarded: nothing was done, and it may be sent again."""
         self.listener.counts.rejections[SERVICE_UNAVAILABLE] += 1
         retry_after_us = self.listener.handler.rejection_retry_after_us()
         reply.answer(SERVICE_UNAVAILABLE, retry_after_us=retry_after_us)
-
-    def forward_if_allowed(self, in_flight: list[Reply], reply: Reply) -> None:
-        """Forwards a command, unless an earlier one for its slot has to be answered first."""
-        earlier = in_flight[: in_flight.index(reply)]
-        all_are_reads = not reply.is_write and not any(other.is_write for other in earlier)
-        if reply.forward and not reply.is_delayed and (not earlier or all_are_reads):
-            self.forward_or_delay(reply)
-
-    def forward_or_delay(self, reply: Reply) -> None:
-        """Forwards a command, or delays it if an earlier one waits for the same server."""
-        owner = self.listener.handler.slot_owner(reply.slot)
-        delayed = self.delayed_by_owner.get(owner)
-        if delayed or self.has_waiting(owner):
-            reply.is_delayed = True
-            self.delayed_by_owner.setdefault(owner, deque()).append(reply)
-            return
-        forward = reply.forward
-        reply.forward = None
-        if forward:
-            forward()
-        if reply.awaits_host:
-            self.waiting_by_owner[owner] = reply
-
-    def has_waiting(self, owner: str) -> bool:
-        """Returns whether a forwarded command waits for capacity at this server."""
-        reply = self.waiting_by_owner.get(owner)
-        return reply is not None and reply.awaits_host
-
-    def forward_delayed(self) -> None:
-        """Forwards delayed commands for servers that no earlier command waits for any more."""
-        for owner in list(self.delayed_by_owner):
-            while self.conn.is_open and not self.has_waiting(owner):
-                delayed = self.delayed_by_owner.pop(owner, None)
-                if not delayed:
-                    break
-                reply = delayed.popleft()
-                reply.is_delayed = False
-                reply.unblocked_at_us = self.listener.loop.now
-                self.forward_or_delay(reply)
-                if delayed:
-                    self.delayed_by_owner.setdefault(owner, deque()).extend(delayed)
-
-    def forward_next(self, slot: int) -> None:
-        """Forwards the commands for a slot that no earlier command blocks any more."""
-        now_us = self.listener.loop.now
-        for reply in self.in_flight_by_slot.get(slot, ()):
-            if reply.forward:
-                reply.unblocked_at_us = now_us
-        for reply in list(self.in_flight_by_slot.get(slot, ())):
-            if self.conn.is_open and reply in self.in_flight_by_slot.get(slot, ()):
-                self.forward_if_allowed(self.in_flight_by_slot[slot], reply)
