Tests: a key's window counts from the first possibly executed attempt

Change: the third attempt inside the second's window and outside the first's, for retries, late starts and denials, on the policy and on the balancer's clock; and that an attempt that was never executed begins no window.

--- a/tests/decisions/test_retry_policy.py
+++ b/tests/decisions/test_retry_policy.py
@@ -240,6 +240,50 @@
     assert latest_start_us(request, 1) == 5_000
 
 
+@pytest.mark.parametrize(
+    ("starts_us", "now_us", "is_allowed"),
+    [
+        ((0, 900), 950, True),
+        ((0, 900), 1_000, False),  # inside the second attempt's window alone
+        ((0, 900), 1_899, False),
+        ((0,), 999, True),
+        ((0,), 1_000, False),
+    ],
+)
+def test_the_window_of_a_key_counts_from_the_first_possibly_executed_attempt(
+    starts_us, now_us, is_allowed
+):
+    # Counted from the last one, a third attempt could reach a host that had forgotten the first.
+    request = request_of("dedup", max_attempts=9)
+    for started_at_us in starts_us:
+        with_attempts(request, AttemptOutcome.CONNECTION_RESET, started_at_us=started_at_us)
+    host = request.attempts[0].host
+    assert RetryPolicy(False, 900).allows(request, host, now_us) == is_allowed
+    assert latest_start_us(request, len(starts_us)) == 1_000
+    retry_after_us = RetryPolicy(False, 900).retry_after_us(request, request.request_class, now_us)
+    assert (retry_after_us is not None) == is_allowed
+
+
+def test_the_window_of_a_key_does_not_count_from_an_attempt_that_was_never_executed():
+    request = with_attempts(request_of("dedup"), AttemptOutcome.QUEUE_FULL, started_at_us=0)
+    with_attempts(request, AttemptOutcome.CONNECTION_RESET, started_at_us=900)
+    assert RetryPolicy(False, 900).allows(request, request.attempts[0].host, 1_899)
+    assert latest_start_us(request, 2) == 1_900
+
+
+def test_a_third_attempt_is_not_sent_after_the_window_of_the_first():
+    balancer = BalancerHarness()
+    request = balancer.send_request(3, "mark")
+    balancer.advance(700_000)
+    balancer.finish_attempt(request, "error")
+    assert len(balancer.attempted_hosts(request)) == 2
+    balancer.advance(400_000)
+    balancer.finish_attempt(request, "error", 1)
+    balancer.advance(300_000)
+    assert len(balancer.attempted_hosts(request)) == 2
+    assert balancer.actions("abort", request)
+
+
 def test_the_retry_budget_is_earned_by_answers_and_has_bounds():
     host = HostState("a", False, retry_budget=0.5)
     assert not has_retry_budget(host)
