RESP: a command that comes in pieces is scanned once

Cause: item_end began at the first byte of an incomplete item for each piece, so an array of many short entries cost the square of its length.

Fix: the scan of an incomplete item is kept and goes on at its first incomplete entry (ItemScanner). The new test counts scanned entries. Left: such a command is still split and forwarded in one turn.

--- a/orchidgap/resp/framing.py
+++ b/orchidgap/resp/framing.py
@@ -71,29 +71,64 @@
 
 def item_end(data: bytearray, start: int, max_bytes: int) -> ItemEnd:
     """Returns the end of the item at `start`, which may be at most `max_bytes` long."""
-    position = start
-    open_aggregates = OpenAggregates(max_bytes // MIN_BYTES_PER_ENTRY)
-    while open_aggregates.entries_left:
+    return ItemScanner(max_bytes).scan(data, start)
+
+
+class ItemScanner:
+    r"""Finds the end of one item whose bytes arrive in pieces; each entry is scanned once.
+
+    Attributes:
+        max_bytes: maximum size of the item.
+        scanned_bytes: size of the entries that were scanned, from the start of the item.
+        open_aggregates: the aggregates that miss entries.
+
+    >>> scanner = ItemScanner(100)
+    >>> scanner.scan(bytearray(b"*2\r\n$1\r\na\r\n$"), 0), scanner.scanned_bytes
+    (Incomplete(bytes_needed=0), 11)
+    >>> scanner.scan(bytearray(b"*2\r\n$1\r\na\r\n$1\r\nb\r\n"), 0)
+    18
+    """
+
+    __slots__ = ("max_bytes", "open_aggregates", "scanned_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        """Starts before the first byte of the item."""
+        self.max_bytes = max_bytes
+        self.scanned_bytes = 0
+        self.open_aggregates = OpenAggregates(max_bytes // MIN_BYTES_PER_ENTRY)
+
+    def scan(self, data: bytearray, start: int) -> ItemEnd:
+        """Returns the end of the item at `start`.
+
+        If it is incomplete, the next call continues; the item may have moved in the buffer by then.
+        """
+        position = start + self.scanned_bytes
+        while self.open_aggregates.entries_left:
+            end = self.scan_entry(data, position, start)
+            if not isinstance(end, int):
+                return end
+            position = end
+            self.scanned_bytes = position - start
+            if self.scanned_bytes > self.max_bytes:
+                return ProtocolViolation(f"an item of more than {self.max_bytes} bytes")
+            self.open_aggregates.close_complete()
+        return position
+
+    def scan_entry(self, data: bytearray, position: int, start: int) -> ItemEnd:
+        """Returns the end of one entry, for an aggregate that of its head, and counts it."""
         if position >= len(data):
             return Incomplete(position - start + 1)
         kind = data[position]
-        end = line_end(data, position + 1)
-        if not isinstance(end, int):
-            return end
-        head = data[position + 1 : end]
-        position = end + len(CRLF)
-        violation = open_aggregates.add_entry(kind, head)
-        if violation:
-            return violation
+        line = line_end(data, position + 1)
+        if not isinstance(line, int):
+            return line
+        head = data[position + 1 : line]
+        end: ItemEnd = line + len(CRLF)
         if kind in BULK_TYPES:
-            end = end_of_bulk(data, head, position, start, max_bytes)
+            end = end_of_bulk(data, head, line + len(CRLF), start, self.max_bytes)
             if not isinstance(end, int):
                 return end
-            position = end
-        if position - start > max_bytes:
-            return ProtocolViolation(f"an item of more than {max_bytes} bytes")
-        open_aggregates.close_complete()
-    return position
+        return self.open_aggregates.add_entry(kind, head) or end
 
 
 class OpenAggregates:
--- a/orchidgap/resp/reader.py
+++ b/orchidgap/resp/reader.py
@@ -14,9 +14,9 @@
     MAX_ITEM_BYTES,
     MAX_LINE_BYTES,
     Incomplete,
+    ItemScanner,
     ProtocolViolation,
     command_words,
-    item_end,
 )
 
 ARRAY = ord("*")
@@ -34,6 +34,7 @@
         buffer: the bytes that have arrived, including some that were already read.
         position: offset of the first unread byte in the buffer.
         bytes_needed: unread bytes required before scanning for the next item again.
+        scanner: the scan of the next item while that is incomplete; None before it.
 
     >>> reader = RespReader(); reader.feed(memoryview(b"+OK\r\n$5\r\nhel"))
     >>> reader.read_item(), reader.read_item()
@@ -43,13 +44,14 @@
     (b'$5\r\nhello\r\n', None, 4)
     """
 
-    __slots__ = ("buffer", "bytes_needed", "error", "max_item_bytes", "position")
+    __slots__ = ("buffer", "bytes_needed", "error", "max_item_bytes", "position", "scanner")
 
     def __init__(self, max_item_bytes: int = MAX_ITEM_BYTES) -> None:
         """Starts with nothing received."""
         self.buffer = bytearray()
         self.position = 0
         self.bytes_needed = 0
+        self.scanner: ItemScanner | None = None
         self.max_item_bytes = max_item_bytes
         self.error = ""
 
@@ -64,12 +66,14 @@
         """Returns the end of the next item, or 0 if it is incomplete or there was an error."""
         if self.error or self.unread_bytes() < max(1, self.bytes_needed):
             return 0
-        end = item_end(self.buffer, self.position, self.max_item_bytes)
+        scanner = self.scanner or ItemScanner(self.max_item_bytes)
+        end = scanner.scan(self.buffer, self.position)
         if isinstance(end, ProtocolViolation):
             self.error = end.reason
             return 0
         if isinstance(end, Incomplete):
             self.bytes_needed = end.bytes_needed
+            self.scanner = scanner
             return 0
         return end
 
@@ -116,6 +120,7 @@
         """Marks the buffer as read up to `end`, and releases what a large item has occupied."""
         self.position = end
         self.bytes_needed = 0
+        self.scanner = None
         if end == len(self.buffer) or end > MAX_READ_BYTES_KEPT:
             del self.buffer[:end]
             self.position = 0
--- a/tests/resp/test_reader.py
+++ b/tests/resp/test_reader.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from orchidgap.resp.framing import MAX_LINE_BYTES
+from orchidgap.resp.framing import MAX_LINE_BYTES, ItemScanner
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.values import decode_item
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command
@@ -128,3 +128,21 @@
     assert reader.read_item() is None and not reader.error and reader.bytes_needed == 17
     reader.feed(b" a one\r\n")
     assert reader.read_item() == b"$10\r\nhalf a one\r\n"
+
+
+@pytest.mark.parametrize("entries", [1_000, 4_000])
+def test_a_command_in_pieces_is_scanned_once(entries, monkeypatch):
+    # Each piece had all entries before it scanned anew, and other clients waited for that.
+    scanned = []
+    scan_entry = ItemScanner.scan_entry
+    monkeypatch.setattr(
+        ItemScanner, "scan_entry", lambda *given: scanned.append(1) or scan_entry(*given)
+    )
+    words = [b"MGET", *(b"key-%d" % number for number in range(entries))]
+    text, reader = encode_command(*words), RespReader()
+    pieces = [text[offset : offset + 100] for offset in range(0, len(text), 100)]
+    for piece in pieces:
+        assert reader.read_command() is None
+        reader.feed(piece)
+    assert reader.read_command() == words
+    assert len(scanned) <= len(words) + 2 * len(pieces)
