RESP: half a command on an ending connection is waited for, not polled

Callers would have seen: after quiesce, a client that stops within a command while replies are due has the balancer's loop turn without pause, for as long as it stays; the 2.5 s for the rest never begin.

Cause: after_input and finish_if_answered called each other by call_soon while no reply was due and part of a command was unread.

Evidence: the new test failed before in both forms: 200,000 turns in one moment of virtual time.

Fix: part of a command is awaited as everywhere else, whether or not the connection is ending; replies are written after the last read only where there are any.

--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -237,7 +237,7 @@
             self.conn.pause_reading(bool(self.replies))
         elif self.replies:
             return
-        elif self.is_ending:
+        elif self.is_ending and not self.reader.unread_bytes():
             self.listener.loop.call_soon(self.finish_if_answered)
         elif self.listener.closes_after_answer and not self.has_input():
             self.finish()
@@ -262,7 +262,8 @@
         self.holds_replies = True
         read_up_to_us = self.read_arrived()
         self.holds_replies = False
-        self.write_replies()
+        if self.replies:
+            self.write_replies()
         is_answered = not (self.replies or self.reader.unread_bytes())
         if is_answered and self.conn.is_open and not self.conn.closing:
             self.finish(read_up_to_us)
--- a/tests/resp/test_resp_leaving.py
+++ b/tests/resp/test_resp_leaving.py
@@ -118,3 +118,22 @@
     cluster.node.resume()
     cluster.advance(DRAIN_LIMIT_US)
     assert not client.ended_at_us and set(client.replies) == {b"+OK\r\n"}
+
+
+@pytest.mark.parametrize("begin", [begin_shutdown, drain])
+def test_half_a_command_behind_due_replies_keeps_no_ending_connection_open(begin):
+    # Each turn looked again whether the connection could end, and the time for the rest never began.
+    cluster = RespCluster(**{"timeout-ms": 10_000})
+    for server in cluster.servers:
+        server.latency_us = 1_200_000
+    client = Client(cluster)
+    text = encode_command(b"SET", b"k", b"v")
+    begin(cluster)
+    cluster.advance(100_000)
+    client.send(text, 0)
+    cluster.advance(DRAIN_IDLE_US - 50_000)
+    client.send(text[:9], 0)
+    replies = client.take_replies(1_000_000)
+    assert replies == b"+OK\r\n" and not client.end_reason
+    cluster.advance(3_000_000)
+    assert client.end_reason == "closed"
