RESP: one place stops after the last command; tests share keys and latency

Cause: what a reading of the whole change found. The stop after QUIT or a protocol error stood at three places of process_input and after_input.

Change: the loop's head stops, and after_input calls it; RespCluster has keys_of and latency_us (from the time on at which the node has the slot map), resp_harness the reply. Assertions are as they were.

--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -193,10 +193,10 @@
 
     def process_input(self) -> None:
         """Handles received commands until the limits on outstanding replies are reached."""
-        if self.has_last_command:
-            self.conn.pause_reading(bool(self.replies))
-            return
         while self.conn.is_open and not self.conn.closing:
+            if self.has_last_command:
+                self.conn.pause_reading(True)
+                return
             if len(self.conn.write_buffer) > MAX_QUEUED_BYTES:
                 # No event reports that the client reads again, so the buffer is polled.
                 self.conn.pause_reading(True)
@@ -212,9 +212,6 @@
                 self.listener.awaiting_request.pop(self, None)
                 self.requests_read += 1
                 self.handle_command(words)
-            if self.has_last_command:
-                self.conn.pause_reading(bool(self.replies))
-                return
         self.conn.pause_reading(False)
         if self.conn.is_open and not self.conn.closing:
             self.after_input()
@@ -234,7 +231,7 @@
             reply = Reply(self)
             self.replies.append(reply)
             reply.set_encoded(encode_error(f"ERR Protocol error: {self.reader.error}"))
-            self.conn.pause_reading(bool(self.replies))
+            self.process_input()  # handles nothing more
         elif self.replies:
             return
         elif self.is_ending and not self.reader.unread_bytes():
--- a/tests/resp/resp_harness.py
+++ b/tests/resp/resp_harness.py
@@ -6,6 +6,7 @@
 from orchidgap.net.connection import Connection
 from orchidgap.net.node import Node
 from orchidgap.resp import Resp
+from orchidgap.resp.local_commands import slot_of_key
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command
 from orchidgap.simulation.balancer_loop import BalancerLoop
@@ -27,6 +28,8 @@
     },
 }
 
+POSSIBLY_EXECUTED = b"-ERR given up, it may have run\r\n"
+
 
 class Log:
     def __init__(self):
@@ -174,12 +177,13 @@
     """A node and `servers` slot servers, which own equal parts of the slots.
 
     `layout` lists the slot ranges as (first, last, server number); tests may change it. `settings`
-    are laid over `SETTINGS`.
+    are laid over `SETTINGS`; once the node has the slot map, the servers reply after
+    `latency_us`.
     """
 
     address = ("127.1.0.1", 7070)
 
-    def __init__(self, servers=3, limits=None, settings=None, **resp):
+    def __init__(self, servers=3, limits=None, settings=None, latency_us=0, **resp):
         self.network, self.log = VirtualNetwork(), Log()
         self.servers = [SlotServer(self, number) for number in range(1, servers + 1)]
         self.layout = [
@@ -209,6 +213,8 @@
         self.node_loop.watch(accept_queue, 1, self.node.clients.accept)
         self.node.start()
         self.advance(50_000)
+        for server in self.servers:
+            server.latency_us = latency_us
 
     def cluster_slots_reply(self):
         return encode_array(
@@ -236,6 +242,13 @@
     def owner(self, slot):
         return next(self.servers[i] for first, last, i in self.layout if first <= slot <= last)
 
+    def keys_of(self, count=1, number=0):
+        """Returns keys whose slots the server with this number owns."""
+        owner = self.servers[number]
+        keys = (b"k%d" % index for index in range(10_000))
+        owned = (key for key in keys if self.owner(slot_of_key(key)) is owner)
+        return [next(owned) for _ in range(count)]
+
     def received_commands(self, name=None):
         return [
             words
--- a/tests/resp/test_last_replies.py
+++ b/tests/resp/test_last_replies.py
@@ -17,9 +17,7 @@
 @pytest.mark.parametrize("in_one_piece", [True, False])
 def test_replies_that_are_due_come_before_the_end(text, in_one_piece):
     # The connection ended at once, and the replies to commands that had run were lost.
-    cluster = RespCluster()
-    for server in cluster.servers:
-        server.latency_us = 100_000
+    cluster = RespCluster(latency_us=100_000)
     client = Client(cluster)
     commands = b"".join(encode_command(b"INCR", b"k%d" % (number % 3)) for number in range(6))
     if in_one_piece:
@@ -38,9 +36,7 @@
 
 
 def test_a_client_that_leaves_after_quit_is_forgotten():
-    cluster = RespCluster()
-    for server in cluster.servers:
-        server.latency_us = 100_000
+    cluster = RespCluster(latency_us=100_000)
     client = Client(cluster)
     client.send(encode_command(b"GET", b"k") + encode_command(b"QUIT"), 10_000)
     client.conn.close()
--- a/tests/resp/test_lost_answers.py
+++ b/tests/resp/test_lost_answers.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from resp_harness import SETTINGS, Client, RespCluster
+from resp_harness import POSSIBLY_EXECUTED, SETTINGS, Client, RespCluster
 
 from orchidgap.net.config import config_from_document
 from orchidgap.resp.local_commands import slot_of_key
@@ -14,7 +14,6 @@
 EFFECTS = ("retryable", "dedup", "fragile")
 CLIENT_TIMEOUT_MS = 2_500
 LATENCY_OBJECTIVE_US = 300_000
-POSSIBLY_EXECUTED = b"-ERR given up, it may have run\r\n"
 PARTS_NOTE = b" (a part of several slots; others may have run)\r\n"
 
 
@@ -46,14 +45,6 @@
     )
 
 
-def keys_of(cluster, count=1, number=0):
-    """Returns keys whose slots the server with this number owns."""
-    owner = cluster.servers[number]
-    keys = (b"k%d" % index for index in range(10_000))
-    owned = (key for key in keys if cluster.owner(slot_of_key(key)) is owner)
-    return [next(owned) for _ in range(count)]
-
-
 def run_then(cluster, number, last_reply):
     """Has a server run its next command, and send or do this in place of its answer."""
     server = cluster.servers[number]
@@ -102,7 +93,7 @@
 ):
     # Its class had the effect `dedup`: it was sent again, and incremented its counter twice.
     cluster = make_cluster(effect, scope=scope)
-    client, [warm_up, key] = Client(cluster), keys_of(cluster, 2)
+    client, [warm_up, key] = Client(cluster), cluster.keys_of(2)
     assert client.call(b"INCR", warm_up) == b":1\r\n"
     lose_answer(cluster)
     reply = client.call(b"INCR", key, wait_us=CLIENT_TIMEOUT_MS * 1_000)
@@ -115,7 +106,7 @@
     # Its class had the effect `dedup`: the overdue write was sent to its server a second time.
     cluster = make_cluster(effect)
     client, other = Client(cluster), Client(cluster)
-    key, other_key = keys_of(cluster, 2)
+    key, other_key = cluster.keys_of(2)
     for _ in range(20):
         other.call(b"GET", other_key, wait_us=1_000)
     stay_silent(cluster)
@@ -130,7 +121,7 @@
 def test_a_pipeline_of_writes_that_is_cut_is_not_repeated(effect):
     # Each write of the pipeline that had no answer yet was sent again.
     cluster = make_cluster(effect)
-    client, keys = Client(cluster), keys_of(cluster, 200)
+    client, keys = Client(cluster), cluster.keys_of(200)
     client.call(b"INCR", keys[0])
     default_answer = cluster.servers[0].answer
 
@@ -153,7 +144,7 @@
 def test_new_settings_allow_no_repeat_of_a_write(old_effect, new_effect, is_in_flight):
     # A reload that gave the class the effect `dedup` let writes run twice from then on.
     cluster = make_cluster(old_effect)
-    client, [warm_up, key] = Client(cluster), keys_of(cluster, 2)
+    client, [warm_up, key] = Client(cluster), cluster.keys_of(2)
     client.call(b"INCR", warm_up)
     stay_silent(cluster)
     if is_in_flight:
@@ -174,7 +165,7 @@
 @pytest.mark.parametrize("effect", EFFECTS)
 def test_a_write_that_surely_did_not_run_is_repeated(effect):
     cluster = make_cluster(effect)
-    client, [key] = Client(cluster), keys_of(cluster)
+    client, [key] = Client(cluster), cluster.keys_of()
     cluster.servers[0].script = [b"-LOADING wait\r\n"]
     reply = client.call(b"INCR", key, wait_us=CLIENT_TIMEOUT_MS * 1_000)
     assert reply == b":1\r\n" or reply.startswith(b"-TRYAGAIN turned away, nothing was done")
@@ -185,7 +176,7 @@
 @pytest.mark.parametrize(("effect", "is_repeated"), [("retryable", True), ("fragile", False)])
 def test_a_read_whose_answer_is_lost_is_repeated_as_its_class_allows(effect, is_repeated):
     cluster = make_cluster("fragile", read_effect=effect)
-    client, [warm_up, key] = Client(cluster), keys_of(cluster, 2)
+    client, [warm_up, key] = Client(cluster), cluster.keys_of(2)
     client.call(b"SET", key, b"value")
     client.call(b"GET", warm_up)
     cut(cluster)
@@ -197,7 +188,7 @@
     # One part was refused, so the reply was "TRYAGAIN turned away, nothing was done", though others had run.
     cluster = make_cluster("fragile")
     client = Client(cluster)
-    keys = [keys_of(cluster, number=number)[0] for number in range(3)]
+    keys = [cluster.keys_of(number=number)[0] for number in range(3)]
     for key in keys:
         client.call(b"SET", key, b"1")
     refuse_commands(cluster.servers[0])
@@ -215,7 +206,7 @@
     # The reply was that of the first part that failed: here the refusal.
     cluster = make_cluster("fragile")
     client = Client(cluster)
-    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    keys = [cluster.keys_of(number=number)[0] for number in range(2)]
     refuse_commands(cluster.servers[0])
     run_then(cluster, 1, "cut")
     reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
@@ -225,7 +216,7 @@
 def test_a_split_write_shows_the_error_of_a_server_before_a_refusal():
     cluster = make_cluster("fragile")
     client = Client(cluster)
-    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    keys = [cluster.keys_of(number=number)[0] for number in range(2)]
     refuse_commands(cluster.servers[0])
     cluster.servers[1].script = [b"-OOM no memory\r\n"]
     reply = client.call(b"DEL", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
@@ -235,7 +226,7 @@
 def test_a_split_read_of_which_a_part_is_refused_may_be_retried():
     cluster = make_cluster("fragile")
     client = Client(cluster)
-    keys = [keys_of(cluster, number=number)[0] for number in range(2)]
+    keys = [cluster.keys_of(number=number)[0] for number in range(2)]
     refuse_commands(cluster.servers[0])
     reply = client.call(b"MGET", *keys, wait_us=CLIENT_TIMEOUT_MS * 1_000)
     assert reply.startswith(b"-TRYAGAIN turned away, nothing was done; come back in ")
--- a/tests/resp/test_resp_leaving.py
+++ b/tests/resp/test_resp_leaving.py
@@ -4,24 +4,14 @@
 """
 
 import pytest
-from resp_harness import Client, PipeliningClient, RespCluster
+from resp_harness import POSSIBLY_EXECUTED, Client, PipeliningClient, RespCluster
 
 from orchidgap.decisions.lifecycle import DRAIN_IDLE_US, SHUTDOWN_ACCEPT_US
-from orchidgap.resp.local_commands import slot_of_key
 from orchidgap.resp.writers import encode_command
 
-CLIENT_TIMEOUT_US = 1_000_000
 DRAIN_LIMIT_US = 4_000_000  # no request is answered on a connection this long after a drain began
 CROSSING_US = 10_000  # several times the time between client and balancer
 DENIED = b"-TRYAGAIN turned away, nothing was done; come back in 250 ms\r\n"
-POSSIBLY_EXECUTED = b"-ERR given up, it may have run\r\n"
-
-
-def keys_of(cluster, number, count):
-    owner = cluster.servers[number]
-    keys = (b"k%d" % index for index in range(10_000))
-    owned = (key for key in keys if cluster.owner(slot_of_key(key)) is owner)
-    return [next(owned) for _ in range(count)]
 
 
 def begin_shutdown(cluster):
@@ -50,10 +40,8 @@
     begin, serves_for_us, latency_us
 ):
     # It was used until the process ended, and the commands on it then were never answered.
-    cluster = RespCluster()
-    for server in cluster.servers:
-        server.latency_us = latency_us
-    keys = [key for number in range(3) for key in keys_of(cluster, number, 2)]
+    cluster = RespCluster(latency_us=latency_us)
+    keys = [key for number in range(3) for key in cluster.keys_of(2, number)]
     clients = [PipeliningClient(cluster, (b"SET", key, b"v"), 20) for key in keys]
     cluster.advance(500_000)
     begin(cluster)
@@ -80,7 +68,7 @@
     # Only the first one of each slot had an exchange that the last answers reached.
     cluster = RespCluster(**{"timeout-ms": 10_000})
     client = Client(cluster)
-    keys = keys_of(cluster, 0, 3)
+    keys = cluster.keys_of(3)
     client.call(b"SET", keys[0], b"v")
     cluster.servers[0].script = [None] * 100
     commands = [encode_command(b"SET", key, b"v") for key in keys for _ in range(20)]
@@ -95,9 +83,7 @@
 
 
 def test_a_command_that_arrives_in_pieces_while_its_connection_ends_is_answered():
-    cluster = RespCluster()
-    for server in cluster.servers:
-        server.latency_us = 50_000
+    cluster = RespCluster(latency_us=50_000)
     client = Client(cluster)
     text = encode_command(b"SET", b"k", b"v")
     client.send(text * 3 + text[:9], 10_000)
@@ -108,9 +94,7 @@
 
 
 def test_a_drain_that_is_ended_in_time_ends_no_connection_in_use():
-    cluster = RespCluster()
-    for server in cluster.servers:
-        server.latency_us = 5_000
+    cluster = RespCluster(latency_us=5_000)
     client = PipeliningClient(cluster, (b"SET", b"k", b"v"), 20)
     cluster.advance(100_000)
     cluster.node.drain()
@@ -123,9 +107,7 @@
 @pytest.mark.parametrize("begin", [begin_shutdown, drain])
 def test_half_a_command_behind_due_replies_keeps_no_ending_connection_open(begin):
     # Each turn looked again whether the connection could end, and the time for the rest never began.
-    cluster = RespCluster(**{"timeout-ms": 10_000})
-    for server in cluster.servers:
-        server.latency_us = 1_200_000
+    cluster = RespCluster(latency_us=1_200_000, **{"timeout-ms": 10_000})
     client = Client(cluster)
     text = encode_command(b"SET", b"k", b"v")
     begin(cluster)
