Readers keep only the header fields that are used, and at most 128 may come

Cause: every field became two objects and an entry in a table, some 170 bytes for a field of 5 bytes, and up to 64 KB were parsed at once before the size of the head was looked at. Now a field that the program does not read is dropped in the parser's callback, and the 129th ends the parsing.

--- a/orchidgap/http1/messages.py
+++ b/orchidgap/http1/messages.py
@@ -7,6 +7,7 @@
 MAX_HEAD_BYTES = 1 << 14
 MAX_BUFFERED_BODY_BYTES = 1 << 16  # a larger body is streamed
 MAX_BODY_BYTES = 40 << 20  # a larger body is rejected, even if it is streamed
+MAX_HEAD_FIELDS = 128  # a head with more header fields is rejected, however short they are
 
 
 class Message:
@@ -32,7 +33,8 @@
         head_bytes: the part of the head that has arrived, where the head arrives in pieces; None
             where it is unknown.
         chunk_tracker: position in the framing of a chunked body, None for other bodies.
-        fields: header fields by lower-case name.
+        fields: header fields that this program reads, by lower-case name.
+        field_count: all header fields that have arrived.
         body_parts: parts of the body that `take_body` has not returned yet.
     """
 
@@ -48,6 +50,7 @@
     received_at_us = 0
     body_size = 0
     wire_size = 0
+    field_count = 0
     head_bytes: bytes | None = b""
     chunk_tracker: ChunkTracker | None = None
 
--- a/orchidgap/http1/readers.py
+++ b/orchidgap/http1/readers.py
@@ -11,11 +11,13 @@
 
 import httptools
 
+from orchidgap.errors import OrchidgapError
 from orchidgap.http1.chunked_encoding import ChunkTracker
 from orchidgap.http1.messages import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BODY_BYTES,
     MAX_HEAD_BYTES,
+    MAX_HEAD_FIELDS,
     Message,
 )
 
@@ -36,6 +38,20 @@
         b"transfer-encoding",
     )
 )
+# Further fields that this program reads. All others are dropped as they arrive: each one kept takes
+# many times its size on the wire.
+USED_FIELDS = SINGLE_VALUE_FIELDS | {
+    b"client-retry",
+    b"connection",
+    b"content-length",
+    b"expect",
+    b"not-started",
+    b"server-load",
+}
+
+
+class RejectedHeadError(OrchidgapError):
+    """Raised within the parser, which then parses nothing more of the head."""
 
 
 class MessageReader:
@@ -140,14 +156,23 @@
         self.incoming.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header field; trailers are ignored."""
-        if self.incoming.head_complete:
+        """Stores a header field that is used; others and trailers are ignored.
+
+        Raises RejectedHeadError where the head has too many fields.
+        """
+        incoming = self.incoming
+        if incoming.head_complete:
             return
+        incoming.field_count += 1
+        if incoming.field_count > MAX_HEAD_FIELDS:
+            self.reject(HEAD_TOO_LARGE)
+            raise RejectedHeadError("too many header fields")
         name = name.lower()
-        fields = self.incoming.fields
-        if name in fields and name in SINGLE_VALUE_FIELDS:
+        if name not in USED_FIELDS:
+            return
+        if name in incoming.fields and name in SINGLE_VALUE_FIELDS:
             self.reject(BAD_REQUEST)
-        fields[name] = value.strip(b" \t")  # the parser keeps whitespace after a value
+        incoming.fields[name] = value.strip(b" \t")  # the parser keeps whitespace after a value
 
     def on_headers_complete(self) -> None:
         """Checks how the body is framed."""
