A turn of the loop has a bounded time for ready sockets, and costly ones come last

Cause: each turn called every ready socket, whatever it cost; a read of 16 KB in such chunks took 14 ms, 5 us a chunk, most of it the tracking of the position, so 168 of them made turns of 2.5 s. Timers, signals and all other sockets waited. Now a socket whose call took over 0.5 ms is called after all others, 10 ms of such calls in a turn, the one that waited longest first; the others have 20 ms, and who had no time is first in the next turn. The listener, signals and discovery never wait. A call counts 5 ms at most, so that a process that was held up goes on by its list. Whole chunks are skipped by one pattern.

--- a/orchidgap/http1/chunked_encoding.py
+++ b/orchidgap/http1/chunked_encoding.py
@@ -14,9 +14,12 @@
 
 from __future__ import annotations
 
+import re
 from enum import Enum, auto
 
 MAX_LINE_BYTES = 1 << 14  # for a chunk's size line, or for all trailers together
+SIZE_LINE_PATTERN = re.compile(rb"([0-9a-fA-F]{1,8})(?:;[^\r\n]*)?\r\n")
+LINE_END = b"\r\n"
 PLACEHOLDER = b"x"  # represents one byte of the body in `ChunkTracker.resume_text`
 
 
@@ -61,6 +64,10 @@
         """Updates the position by received bytes of the body, framing included."""
         position = 0
         while position < len(received) and self.state is not ChunkState.UNKNOWN:
+            if self.state is ChunkState.SIZE_LINE and not self.partial_line:
+                position = skip_whole_chunks(received, position)
+                if position == len(received):
+                    return
             if self.state is ChunkState.DATA:
                 position += self._skip_data(len(received) - position)
                 continue
@@ -125,3 +132,20 @@
     def has_placeholder(self) -> bool:
         """Whether `resume_text` contains a byte that is not part of the body."""
         return self.state is ChunkState.DATA_END
+
+
+def skip_whole_chunks(received: bytes, position: int) -> int:
+    r"""Returns the position after all chunks that have arrived whole, from one's size line on.
+
+    >>> skip_whole_chunks(b"1\r\nx\r\n2;y=z\r\nab\r\n3\r\nabc\r", 0)
+    17
+    >>> skip_whole_chunks(b"0\r\n\r\n", 0)
+    0
+    """
+    while match := SIZE_LINE_PATTERN.match(received, position):
+        size = int(match[1], 16)
+        data_end = match.end() + size
+        if not size or not received.startswith(LINE_END, data_end):
+            break
+        position = data_end + len(LINE_END)
+    return position
--- a/orchidgap/http1/readers.py
+++ b/orchidgap/http1/readers.py
@@ -71,7 +71,7 @@
         incoming: the message that is arriving; not `message` where messages are pipelined.
         started: bytes of `message` have arrived.
         has_excess_data: more bytes have arrived than the peer may send.
-        has_small_chunks: the last bytes of a body came in many parts.
+        has_small_chunks: the last bytes of a body came in many parts, or none have come.
         head_count: number of heads that ended since `message` began, interim responses included.
     """
 
@@ -81,7 +81,7 @@
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         """Limits bodies to `max_body_bytes`."""
         self.max_body_bytes = max_body_bytes
-        self.has_small_chunks = False
+        self.has_small_chunks = True
         self.message = Message()
         self.incoming = self.message
         self.started = False
@@ -126,8 +126,8 @@
 
     def join_small_parts(self, incoming: Message) -> None:
         """Joins the parts of a body that came in many, as each part takes memory of its own."""
-        self.has_small_chunks = len(incoming.body_parts) > MAX_BODY_PARTS
-        if self.has_small_chunks:
+        self.has_small_chunks = not 0 < len(incoming.body_parts) <= MAX_BODY_PARTS
+        if len(incoming.body_parts) > MAX_BODY_PARTS:
             incoming.body_parts = [b"".join(incoming.body_parts)]
 
     def limit_framing(self, incoming: Message) -> None:
--- a/orchidgap/net/client_listener.py
+++ b/orchidgap/net/client_listener.py
@@ -25,6 +25,7 @@
 BACKLOG = 512  # connections that may wait to be accepted
 CLOSING_BACKLOG = 4_096  # the same during shutdown, when connections are accepted more slowly
 MAX_ACCEPTS_PER_TURN = 64  # more are left to the next turn, so that other sockets are not delayed
+MAX_ACCEPTING_US = 5_000  # in one turn of a process that is not leaving, for the same reason
 CLOSING_ADMISSIONS = 512  # most connections of the backlog that are served as the listener closes
 MAX_CLOSING_CLIENTS = 16  # connections above `max_clients` that may still read their last answer
 # Rounds of accepting as the process ends; a round ends early when descriptors run out.
@@ -212,9 +213,12 @@
         Returns:
             Whether the backlog was seen empty.
         """
+        begun_us = self.loop.clock()
         for _ in range(max_accepts):
             if not self.listening_socket:
                 return True
+            if not self.is_leaving and self.loop.clock() - begun_us >= MAX_ACCEPTING_US:
+                return False
             if not self.is_leaving and not self.has_descriptor_for_client():
                 self.pause_accepting()
                 return False
--- a/orchidgap/net/client_table.py
+++ b/orchidgap/net/client_table.py
@@ -13,6 +13,8 @@
 REQUEST_TIMEOUT_US = 2_500_000
 UNUSED_AFTER_US = 500_000  # a connection without a request for this long is evicted first
 SWEEP_INTERVAL_US = 250_000
+MAX_SWEEP_US = 10_000  # a sweep that takes longer goes on after `SWEEP_PAUSE_US`
+SWEEP_PAUSE_US = 1_000
 # a connection younger than this is expected to send its first request
 RECENT_CONNECTION_US = 250_000
 IDLE_RESERVE_DIVISOR = 8  # an eighth of `max_clients` may always be idle
@@ -125,11 +127,16 @@
 
         A client that has sent nothing at all is closed without an answer.
         """
+        begun_us = self.loop.clock()
+        next_sweep_us = SWEEP_INTERVAL_US
         while client := next(iter(self.awaiting_request), None):
             if self.loop.now - client.since_us < REQUEST_TIMEOUT_US:
                 break
+            if self.loop.clock() - begun_us >= MAX_SWEEP_US:
+                next_sweep_us = SWEEP_PAUSE_US
+                break
             self._end_stalled(client)
-        self.loop.call_later(SWEEP_INTERVAL_US, self.close_stalled)
+        self.loop.call_later(next_sweep_us, self.close_stalled)
 
     def _end_stalled(self, client: ClientConnection) -> None:
         """Reject or close a client whose request is overdue, unless the rest has arrived by now.
@@ -146,9 +153,13 @@
             client.close_unless_unread(ConnectionEnd.SILENT)
 
     def release_idle(self) -> None:
-        """Close clients without a request, except those that connected only recently."""
+        """Close clients without a request, except those that connected only recently.
+
+        Those whose request has begun are read as they become ready, like at any time.
+        """
         recent_since_us = self.loop.now - RECENT_CONNECTION_US
-        for client in [*self.idle, *self.awaiting_request]:
+        unbegun = [client for client in self.awaiting_request if not client.request_begun]
+        for client in [*self.idle, *unbegun]:
             read_up_to_us = self.loop.clock()
             if client.conn.has_unread_bytes():
                 read_up_to_us = 0  # one read may not read all of them
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -114,7 +114,7 @@
             if with_timestamps:
                 self.timestamps_enabled = enable_receive_timestamps(sock)
         self.mask = WRITE if opening else READ
-        loop.watch(sock, self.mask, self.on_ready, urgent)
+        loop.watch(sock, self.mask, self.on_ready, urgent, deferrable=True)
 
     @property
     def is_open(self) -> bool:
@@ -189,11 +189,13 @@
             self.read()
 
     def discard_received(self) -> None:
-        """Read and discard all bytes that have arrived on a closing connection."""
-        while self.is_open and self.closing:
-            before = self.discarded_bytes
-            self.read()
-            if self.discarded_bytes == before:
+        """Read and discard the bytes that have arrived on a closing connection.
+
+        Ends after `MAX_READING_US` even if the peer goes on sending.
+        """
+        begun_us = self.loop.clock()
+        while self.is_open and self.closing and self.read():
+            if self.loop.clock() - begun_us >= MAX_READING_US:
                 return
 
     def receive(self) -> int:
@@ -303,7 +305,7 @@
         if not mask:
             self.loop.unwatch(self.sock)
         elif not previous:
-            self.loop.watch(self.sock, mask, self.on_ready, self.urgent)
+            self.loop.watch(self.sock, mask, self.on_ready, self.urgent, deferrable=True)
         else:
             self.loop.rewatch(self.sock, mask, self.on_ready)
 
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -24,6 +24,12 @@
 # A turn is stalled when the selector was polled longer ago than this: sockets that have become
 # ready since may change what the turn is based on.
 STALLED_TURN_US = 50_000
+MAX_CALLS_US = 20_000  # time for ready sockets in one turn; the others come first in the next one
+# A socket whose callback took this long is called after all others in the following turns.
+COSTLY_CALL_US = 500
+MAX_COSTLY_CALLS_US = 10_000  # time for such sockets in one turn
+# A call counts as this long at most: one that took longer was probably held up, and cost no work.
+MAX_COUNTED_CALL_US = 5_000
 
 
 def system_clock() -> Callable[[], int]:
@@ -124,6 +130,11 @@
         self.on_error = on_error
         self.selector = selectors.DefaultSelector()
         self.priority_callbacks: set[Callable[[int], None]] = set()  # called before all others
+        # descriptors whose last callback was costly, the one called longest ago first
+        self.costly_descriptors: dict[int, None] = {}
+        self.deferrable_descriptors: set[int] = set()
+        # those that were ready and not called for lack of time, with their place in the order
+        self.deferred_descriptors: dict[int, int] = {}
         self.timers: list[tuple[int, int, Timer]] = []
         self.ready_callbacks: deque[tuple[Callable[..., None], tuple[Any, ...]]] = deque()
         self.postponed: list[Callable[[], None]] = []  # calls for the next turn
@@ -146,11 +157,18 @@
         mask: int,
         callback: Callable[[int], None],
         priority: bool = False,
+        deferrable: bool = False,
     ) -> None:
-        """Call back when the socket or descriptor is ready; with `priority`, before all others."""
-        self.selector.register(sock, mask, callback)
+        """Call back when the socket or descriptor is ready.
+
+        With `priority`, it is called before all others. If `deferrable`, the call may wait for a
+        later turn as long as other sockets take much time.
+        """
+        key = self.selector.register(sock, mask, callback)
         if priority:
             self.priority_callbacks.add(callback)
+        elif deferrable:
+            self.deferrable_descriptors.add(key.fd)
 
     def rewatch(self, sock: socket.socket, mask: int, callback: Callable[[int], None]) -> None:
         """Change the events or the callback of a watched socket."""
@@ -160,6 +178,8 @@
         """Stop watching the socket."""
         key = self.selector.unregister(sock)
         self.priority_callbacks.discard(key.data)
+        self.deferrable_descriptors.discard(key.fd)
+        self.costly_descriptors.pop(key.fd, None)
 
     def call_later(self, delay_us: int, callback: Callable[..., None], *args: Any) -> Timer:
         """Call after a delay in microseconds, counted from `now`."""
@@ -233,16 +253,67 @@
             self.longest_turn_us = turn_us
 
     def _run_ready_sockets(self, events: list[tuple[selectors.SelectorKey, int]]) -> None:
-        """Run the priority callbacks, then the postponed calls, then all other callbacks."""
-        if self.priority_callbacks and len(events) > 1:
-            events.sort(key=lambda event: event[0].data not in self.priority_callbacks)
+        """Run the priority callbacks, the postponed calls, and as many others as there is time."""
+        if len(events) > 1:
+            events = self._in_order(events)
         postponed, self.postponed = self.postponed, []
+        costly: list[tuple[selectors.SelectorKey, int]] = []
+        deferred: dict[int, int] = {}
+        spent_us = 0
         for key, mask in events:
             if postponed and key.data not in self.priority_callbacks:
                 self._run_postponed(postponed)
                 postponed = []
-            self.run_callback(key.data, mask)
+            if key.fd not in self.deferrable_descriptors:
+                self.run_callback(key.data, mask)
+            elif key.fd in self.costly_descriptors:
+                costly.append((key, mask))
+            elif spent_us >= MAX_CALLS_US:
+                deferred[key.fd] = len(deferred)
+            else:
+                spent_us += self._run_socket(key, mask)
         self._run_postponed(postponed)
+        self.deferred_descriptors = deferred
+        if costly:
+            self._run_costly(costly)
+
+    def _in_order(
+        self, events: list[tuple[selectors.SelectorKey, int]]
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return the priority sockets first, and then those that were deferred, in their order."""
+        deferred = self.deferred_descriptors
+        if deferred:
+            events.sort(key=lambda event: deferred.get(event[0].fd, len(deferred)))
+        if self.priority_callbacks:
+            events.sort(key=lambda event: event[0].data not in self.priority_callbacks)
+        return events
+
+    def _run_costly(self, events: list[tuple[selectors.SelectorKey, int]]) -> None:
+        """Run the callbacks that were costly before, as far as their time in one turn allows.
+
+        At least one is run, and the one that was called longest ago is first, so that all get their
+        turn while none delays the sockets that cost little.
+        """
+        by_descriptor = {event[0].fd: event for event in events}
+        spent_us = 0
+        for descriptor in [each for each in self.costly_descriptors if each in by_descriptor]:
+            spent_us += self._run_socket(*by_descriptor[descriptor])
+            if spent_us >= MAX_COSTLY_CALLS_US:
+                return
+
+    def _run_socket(self, key: selectors.SelectorKey, mask: int) -> int:
+        """Run the callback of a ready socket, and note whether it was costly.
+
+        Returns:
+            The time that the call counts as, in microseconds.
+        """
+        begun_us = self.clock()
+        self.run_callback(key.data, mask)
+        duration_us = self.clock() - begun_us
+        self.costly_descriptors.pop(key.fd, None)
+        if duration_us >= COSTLY_CALL_US and key.fd in self.deferrable_descriptors:
+            self.costly_descriptors[key.fd] = None
+        return min(duration_us, MAX_COUNTED_CALL_US)
 
     def _run_due_timers(self) -> None:
         """Call the timers that are due.
--- a/orchidgap/simulation/balancer_loop.py
+++ b/orchidgap/simulation/balancer_loop.py
@@ -117,7 +117,12 @@
         self.call_soon(callback)
 
     def watch(
-        self, sock: Any, mask: int, callback: Callable[[int], None], priority: bool = False
+        self,
+        sock: Any,
+        mask: int,
+        callback: Callable[[int], None],
+        priority: bool = False,
+        deferrable: bool = False,
     ) -> None:
         """Watch a socket or a listening queue; a connection only once it is established."""
         self.watched[sock] = (mask, callback)
--- a/tests/net/test_loop.py
+++ b/tests/net/test_loop.py
@@ -2,9 +2,17 @@
 stalled one.
 """
 
+import contextlib
 import os
 
-from orchidgap.net.loop import MAX_POSTPONED_TURNS, READ, STALLED_TURN_US, Loop
+from orchidgap.net.loop import (
+    COSTLY_CALL_US,
+    MAX_CALLS_US,
+    MAX_POSTPONED_TURNS,
+    READ,
+    STALLED_TURN_US,
+    Loop,
+)
 
 
 class FakeClock:
@@ -156,3 +164,74 @@
     assert not loop.is_stalled
     clock.now_us += 1
     assert loop.is_stalled
+
+
+class ReadyDescriptors:
+    """Descriptors that are always ready; records the calls, each of which takes its own time."""
+
+    def __init__(self, durations_us, deferrable=True):
+        self.calls, self.clock = [], FakeClock()
+        self.loop = Loop(self.clock)
+        self.files = contextlib.ExitStack()
+        for name, duration_us in durations_us.items():
+            reader, writer = os.pipe()
+            os.write(writer, b"x")
+            self.files.callback(os.close, reader)
+            self.files.callback(os.close, writer)
+            self.loop.watch(reader, READ, self.callback(name, duration_us), deferrable=deferrable)
+
+    def callback(self, name, duration_us):
+        def on_ready(mask):
+            self.calls.append(name)
+            self.clock.now_us += duration_us
+
+        return on_ready
+
+    def run_turn(self):
+        """Run a turn and return whom it called."""
+        self.calls.clear()
+        self.loop.run_once(0)
+        return list(self.calls)
+
+
+def test_costly_sockets_take_bounded_time_and_come_after_all_others():
+    # Forty uploads in small chunks took 4.7 s of one turn, and nobody else was served.
+    costly = {f"upload {number}": 2_000 for number in range(40)}
+    sockets = ReadyDescriptors({**costly, "reader": COSTLY_CALL_US // 5})
+    with sockets.files:
+        first_turns = [sockets.run_turn() for _ in range(9)]
+        assert {name for calls in first_turns for name in calls} == {*costly, "reader"}
+        later_turns = [sockets.run_turn() for _ in range(8)]
+    for calls in later_turns:
+        assert calls[0] == "reader" and 1 < len(calls) <= 6
+    called = [name for calls in later_turns for name in calls[1:]]
+    assert sorted(called) == sorted(costly), "each of them once in eight turns"
+
+
+def test_sockets_that_had_no_time_in_one_turn_are_first_in_the_next():
+    # Those at the end of the list would otherwise never be called.
+    names = [f"client {number}" for number in range(100)]
+    sockets = ReadyDescriptors(dict.fromkeys(names, COSTLY_CALL_US - 1))
+    with sockets.files:
+        turns = [sockets.run_turn() for _ in range(3)]
+    most = MAX_CALLS_US // (COSTLY_CALL_US - 1) + 1
+    assert all(len(calls) == most for calls in turns)
+    assert {name for calls in turns for name in calls} == set(names)
+
+
+def test_a_socket_that_may_not_be_deferred_is_called_in_each_turn():
+    # A listener whose callback accepts many connections was called once in many turns.
+    durations_us = {"listener": 10_000, "signals": 10_000, "operators": 10_000}
+    sockets = ReadyDescriptors(durations_us, deferrable=False)
+    with sockets.files:
+        assert [sorted(sockets.run_turn()) for _ in range(3)] == [sorted(durations_us)] * 3
+
+
+def test_a_descriptor_that_is_reused_is_not_taken_for_the_costly_one():
+    # The number of a closed descriptor belongs to the next socket that is opened.
+    sockets = ReadyDescriptors({"costly": 2_000})
+    with sockets.files:
+        sockets.run_turn()
+        [descriptor] = sockets.loop.costly_descriptors
+        sockets.loop.unwatch(descriptor)
+    assert not sockets.loop.costly_descriptors and not sockets.loop.deferrable_descriptors
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import multiprocessing
 import os
 import signal
 import socket
@@ -214,28 +215,31 @@
 
 
 class SteadyClient:
-    """A client in a thread of its own that asks one request after another until `stop`.
+    """A client in a process of its own that asks one request after another until `stop`.
 
-    Every other request goes on a new connection.
+    Every other request goes on a new connection. Threads of the test do not delay it.
     """
 
     def __init__(self, balancer, name="steady", pause_s=0.01):
         self.balancer, self.name, self.pause_s = balancer, name, pause_s
-        self.answers, self.is_running = [], True
-        self.thread = threading.Thread(target=self._run, daemon=True)
-        self.thread.start()
+        context = multiprocessing.get_context("fork")
+        self.pipe, far_pipe = context.Pipe()
+        self.process = context.Process(target=self._run, args=(far_pipe,), daemon=True)
+        self.process.start()
 
-    def _run(self):
+    def _run(self, pipe):
+        answers = []
         self.kept = self.balancer.connect()
-        while self.is_running:
-            number = len(self.answers)
+        while not pipe.poll():
+            number = len(answers)
             text = request_head(f"/read/{self.name}{number}", f"{self.name}-{number}")
             start_s = time.monotonic()
             status = self._ask(text, is_new=number % 2 == 1)
             if not status:  # the end of the connection may have crossed the request
                 status = self._ask(text, is_new=True)
-            self.answers.append(Answer(status, time.monotonic() - start_s))
+            answers.append(Answer(status, time.monotonic() - start_s))
             time.sleep(self.pause_s)
+        pipe.send(answers)
 
     def _ask(self, text, is_new):
         """Return the status of the answer; "" if the connection ended without one."""
@@ -253,9 +257,11 @@
 
     def stop(self):
         """Stop after the current request, and return all answers."""
-        self.is_running = False
-        self.thread.join(2 * SOCKET_TIMEOUT_S)
-        return self.answers
+        self.pipe.send("stop")
+        answers = self.pipe.recv() if self.pipe.poll(2 * SOCKET_TIMEOUT_S) else []
+        self.process.kill()
+        self.process.join()
+        return answers
 
 
 def read_answer(sock):
