A write of very many parts is joined, as the system refuses more than 1,024

Cause: all parts that had been read went to one sendmsg; over 1,024 parts it fails with EMSGSIZE, which was taken for a broken connection: the client's was closed in the middle of its answer, the host's charged with a failure.

--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -26,6 +26,7 @@
 # Additional reads of an urgent connection in one turn, before other connections: enough for the
 # longest host list.
 MAX_URGENT_READS = 64
+MAX_SEND_PARTS = 512  # the system refuses one write of more than 1,024
 MAX_READING_US = 1_000  # a connection whose bytes take longer to handle goes on in the next turn
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -222,6 +223,8 @@
     def send(self, *parts: bytes) -> None:
         """Write what the kernel accepts now and buffer the rest."""
         count = 0
+        if len(parts) > MAX_SEND_PARTS:
+            parts = (b"".join(parts),)
         if not self.write_buffer and not self.connecting:
             try:
                 count = self.sock.sendmsg(parts)
