Queued requests wait until their client has read the answers before them

Cause: the next queued request was handled as soon as the one before it was answered, though that answer was still in the write buffer; up to 2 MB of answers piled up for each connection, and then a client was closed. Now the next one is handled when the buffer has drained; as the process ends, those that still wait are answered 503.

--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -143,6 +143,23 @@
             self.send_continue(message)
             self.on_body_progress()
 
+    def process_when_drained(self) -> None:
+        """Goes on with the queued requests, as the client has read the answers before them."""
+        self.conn.on_drained = None
+        self.unblock_next()
+
+    def unblock_next(self) -> None:
+        """Has the request after the one that was answered processed after the current callback."""
+        self.unblocked_at_us = self.listener.loop.now
+        self.listener.await_request(self)
+        self.listener.loop.call_soon(self.process_next)
+
+    def deny_waiting(self) -> None:
+        """Answers the requests that wait until their client has read earlier answers."""
+        waits_for_client = self.conn.on_drained == self.process_when_drained
+        while waits_for_client and self.conn.is_open and self.reader.message.complete:
+            self.answer(SERVICE_UNAVAILABLE)
+
     def process_next(self) -> None:
         """Processes the request after the one that was answered."""
         if self.conn.is_open and not self.conn.closing:
@@ -343,9 +360,10 @@
             self.conn.pause_reading(False)
         if reader.started:
             self.requests_read += 1
-            self.unblocked_at_us = self.listener.loop.now
-            self.listener.await_request(self)
-            self.listener.loop.call_soon(self.process_next)
+            if self.conn.write_buffer:  # its answers would pile up here
+                self.conn.on_drained = self.process_when_drained
+            else:
+                self.unblock_next()
         else:
             self.listener.idle[self] = None
             self.listener.trim_idle()
