While memory is short, bodies are streamed from 16 KB on

Cause: every bound holds for one connection; bodies of up to 64 KB are buffered whole so that an attempt can be repeated, and 168 of them do not fit beside 21 MB of the program. Counting buffers would leave out objects and fragmentation, so the resident size that the kernel reports is looked at, at most each 5 ms and only for a body that is not there yet: over 70% of the limit a body of more than 16 KB is streamed with back-pressure at once, and no more than that is kept for a further attempt. What is lost is the repeat of such a request, as with large ones always. During an upgrade the limit is the share of memory that the process has then.

--- a/orchidgap/http1/client.py
+++ b/orchidgap/http1/client.py
@@ -14,6 +14,7 @@
 from orchidgap.net.attempt_failure import AttemptFailure
 from orchidgap.net.dialing import dial
 from orchidgap.net.loop import Loop
+from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.net.upstream_attempt import UpstreamAttempt
 
 SWEEP_INTERVAL_US = 1_000_000
@@ -45,6 +46,11 @@
         """The event loop."""
         return self.pools.loop
 
+    @property
+    def memory_pressure(self) -> MemoryPressure:
+        """Whether memory is short."""
+        return self.pools.memory_pressure
+
     @property
     def connect_timeout_us(self) -> int:
         """How long connecting may take, in microseconds."""
@@ -134,6 +140,7 @@
 
     Attributes:
         idle_timeout_us: how long a connection may be idle before its host closes it.
+        memory_pressure: whether memory is short.
         streaming_connections: connections that stream a response, in the order in which they began.
     """
 
@@ -144,10 +151,12 @@
         connect_timeout_us: int,
         idle_timeout_us: int,
         dial: Callable[[Address], socket.socket | AttemptFailure] = dial,
+        memory_pressure: MemoryPressure | None = None,
     ) -> None:
         """Creates pools without hosts; both timeouts are in microseconds."""
         super().__init__(loop, max_connections, connect_timeout_us, SWEEP_INTERVAL_US, dial)
         self.idle_timeout_us = idle_timeout_us
+        self.memory_pressure = memory_pressure or MemoryPressure(loop, 0)
         self.streaming_connections: dict[HostConnection, None] = {}
 
     def set_timeouts(self, connect_timeout_us: int, idle_timeout_us: int) -> None:
--- a/orchidgap/http1/host_connection.py
+++ b/orchidgap/http1/host_connection.py
@@ -6,12 +6,13 @@
 from typing import Protocol
 
 from orchidgap.decisions.records import AttemptOutcome
-from orchidgap.http1.messages import Message
+from orchidgap.http1.messages import MAX_BUFFERED_BODY_BYTES, Message
 from orchidgap.http1.readers import ResponseReader
 from orchidgap.http1.writers import LAST_CHUNK, encode_chunk
 from orchidgap.net.attempt_failure import AttemptFailure, SendProgress, connect_failure_cause
 from orchidgap.net.connection import Connection
 from orchidgap.net.loop import Loop, Timer
+from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.net.upstream_attempt import ResponseSink, UpstreamAttempt
 
 # How long after a response a host may still send bytes that belong to no request.
@@ -39,6 +40,10 @@
     def loop(self) -> Loop:
         """The event loop."""
 
+    @property
+    def memory_pressure(self) -> MemoryPressure:
+        """Whether memory is short."""
+
     @property
     def connect_timeout_us(self) -> int:
         """How long connecting may take, in microseconds."""
@@ -240,9 +245,13 @@
     def on_partial_response(self, attempt: UpstreamAttempt, message: Message) -> None:
         """Decides whether to wait for the rest of a response, or to stream it."""
         if message.status != 200:
-            if message.exceeds_buffer:  # only the status matters: the body is not read to its end
+            if message.is_larger_than(
+                MAX_BUFFERED_BODY_BYTES
+            ):  # only the status matters: the body is not read to its end
                 self.finish_attempt(outcome_of_response(message))
-        elif message.exceeds_buffer:
+        elif message.is_larger_than(
+            self.pool.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
+        ):
             self.start_streaming(attempt)
         elif message.content_length is None and not self.timer:
             hold_us = attempt.response_hold_us
--- a/orchidgap/http1/messages.py
+++ b/orchidgap/http1/messages.py
@@ -71,9 +71,8 @@
         """The parts of the body that `take_body` has not returned yet, joined."""
         return b"".join(self.body_parts)
 
-    @property
-    def exceeds_buffer(self) -> bool:
-        """Whether the body is known to be too large to be buffered whole."""
-        if self.body_size > MAX_BUFFERED_BODY_BYTES:
+    def is_larger_than(self, size: int) -> bool:
+        """Whether the body is known to have more bytes than `size`."""
+        if self.body_size > size:
             return True
-        return self.content_length is not None and self.content_length > MAX_BUFFERED_BODY_BYTES
+        return self.content_length is not None and self.content_length > size
--- a/orchidgap/http1/protocol.py
+++ b/orchidgap/http1/protocol.py
@@ -32,6 +32,7 @@
             node.config.connect_timeout_us,
             node.config.idle_timeout_us,
             dial,
+            node.memory_pressure,
         )
 
     def check_settings(self, settings: ServiceSettings) -> None:
--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -96,6 +96,11 @@
         """How many requests were read at least in part."""
         return self.requests_read + len(self.reader.pipelined)
 
+    @property
+    def max_buffered_bytes(self) -> int:
+        """How much of a body may be buffered; a larger one is streamed."""
+        return self.listener.handler.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
+
     # --- requests
 
     def on_data(self, view: memoryview) -> None:
@@ -137,7 +142,7 @@
         elif message.complete:
             self.listener.awaiting_request.pop(self, None)
             self.accept_request()
-        elif message.head_complete and message.exceeds_buffer:
+        elif message.head_complete and message.is_larger_than(self.max_buffered_bytes):
             self.accept_request()
         elif message.head_complete:
             self.send_continue(message)
@@ -234,7 +239,7 @@
             self.pass_to_handler(message, fields, len(body), body, None)
             return
         self.send_continue(message)
-        self.upload = Upload(self.conn, message.content_length, MAX_BUFFERED_BODY_BYTES)
+        self.upload = Upload(self.conn, message.content_length, self.max_buffered_bytes)
         self.upload.add(message.take_body(), False)
         self.body_size_at_progress = max(1, message.body_size)
         self.listener.await_request(self)
--- /dev/null
+++ b/orchidgap/net/memory_pressure.py
@@ -0,0 +1,61 @@
+"""How near the process is to its memory limit, by the resident size that the kernel reports.
+
+Buffers are bounded for each connection. Their sum is not counted: what objects, fragmentation and
+libraries take besides would have to be estimated. While memory is short, bodies are streamed from
+a smaller size on, so that a connection holds less.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+from orchidgap.net.loop import Loop
+
+BYTES_PER_MB = 1 << 20
+SHORT_ABOVE_RATIO = 0.7  # of the limit
+SHORT_BUFFER_BYTES = 1 << 14  # what may be buffered of one body while memory is short
+REFRESH_US = 5_000  # how long one look at the resident size is used
+RESIDENT_PAGES_FIELD = 1  # in /proc/self/statm
+
+
+def resident_bytes() -> int:
+    """Return the memory of this process that is resident, files included; 0 if it is not known."""
+    try:
+        with open("/proc/self/statm", "rb") as file:
+            pages = int(file.read().split()[RESIDENT_PAGES_FIELD])
+    except (OSError, ValueError, IndexError):
+        return 0
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+class MemoryPressure:
+    """Tells whether memory is short.
+
+    Attributes:
+        limit_mb: The memory that the process may use.
+        measure: Returns the memory in use in bytes; without it, memory is never short.
+    """
+
+    def __init__(self, loop: Loop, limit_mb: int) -> None:
+        """Start without a measure."""
+        self.loop = loop
+        self.limit_mb = limit_mb
+        self.measure: Callable[[], int] | None = None
+        self._measured_at_us: int | None = None
+        self._used_bytes = 0
+
+    def buffer_bytes(self, usual_bytes: int) -> int:
+        """Return how much of one body may be buffered, where it is `usual_bytes` by default."""
+        return min(usual_bytes, SHORT_BUFFER_BYTES) if self.is_short else usual_bytes
+
+    @property
+    def is_short(self) -> bool:
+        """Whether the process uses so much that buffers have to be small."""
+        if self.measure is None:
+            return False
+        now_us = self.loop.clock()
+        if self._measured_at_us is None or now_us - self._measured_at_us >= REFRESH_US:
+            self._measured_at_us = now_us
+            self._used_bytes = self.measure()
+        return self._used_bytes > self.limit_mb * BYTES_PER_MB * SHORT_ABOVE_RATIO
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -35,6 +35,7 @@
 from orchidgap.net.handover.absent import NoHandover
 from orchidgap.net.handover.ports import MigratingRequest
 from orchidgap.net.loop import Loop
+from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.net.node_lifecycle import NodeLifecycle
 from orchidgap.net.rejection_log import RejectionLog
 from orchidgap.net.request_handler import Responder
@@ -116,6 +117,7 @@
         self.traffic_counts = TrafficCounts()
         self.lifecycle = Lifecycle(loop.now, config.settings.longest_client_timeout_us)
         self.descriptor_limit = config.descriptors
+        self.memory_pressure = MemoryPressure(loop, config.memory_mb)
         # the host list as received, by host
         self.endpoints: dict[str, tuple[EndpointEntry, Endpoint]] = {}
         self.list_received = False  # also true once the wait for discovery has timed out
@@ -147,6 +149,7 @@
         """Divide this many descriptors, and the same share of the memory, between both sides."""
         self.descriptor_limit = descriptors
         memory_mb = self.config.memory_mb * descriptors // self.config.descriptors
+        self.memory_pressure.limit_mb = memory_mb
         open_clients = len(self.clients.open_clients)
         budget = divide_descriptors(
             descriptors, memory_mb, open_clients, self.pools.connection_count
--- a/orchidgap/net/request_handler.py
+++ b/orchidgap/net/request_handler.py
@@ -7,6 +7,7 @@
 from orchidgap.decisions.lifecycle import Lifecycle
 from orchidgap.decisions.repeat_safety import Idempotency
 from orchidgap.net.body_stream import Upload
+from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.net.traffic_counts import TrafficCounts
 
 
@@ -60,6 +61,7 @@
     """The part of the node that the clients' side of a protocol uses."""
 
     lifecycle: Lifecycle
+    memory_pressure: MemoryPressure
     traffic_counts: TrafficCounts
 
     def is_ready(self) -> bool:
--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -22,6 +22,7 @@
 from orchidgap.net.connection_log import log_connections_if_enabled
 from orchidgap.net.event_log import EventLog
 from orchidgap.net.loop import Loop
+from orchidgap.net.memory_pressure import resident_bytes
 from orchidgap.net.node import Node, ProtocolParts
 from orchidgap.net.signals import watch_signals
 
@@ -86,6 +87,7 @@
         )
     else:
         node = Node(loop, balancer_config, log, protocol, make_balancer=make_balancer)
+    node.memory_pressure.measure = resident_bytes
     wakeup = handle_signals(loop, node, path)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     admin_server = make_admin_server(loop, node)
