--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -10,6 +10,7 @@
 from orchidgap.net.event_log import EventLog
 from orchidgap.net.loop import Loop, Timer
 from orchidgap.net.request_handler import Responder
+from orchidgap.net.sent_request_ids import SentRequestIds
 from orchidgap.net.traffic_counts import RequestEnd, TrafficCounts
 from orchidgap.net.upstream_attempt import ResponseSink, UpstreamAttempt
 
@@ -21,12 +22,14 @@
 # Placeholder deadline of a request whose body is still arriving. Until the body is complete, the
 # protocol's server bounds the time by the progress of the upload.
 UPLOAD_TIME_US = 3_600_000_000
+SERVICE_UNAVAILABLE = 503  # the answer after which a retry is harmless
 
 
 class ExchangeNode(Protocol):
     """The part of the node that its exchanges use."""
 
     open_request_ids: set[bytes]
+    sent_request_ids: SentRequestIds
     traffic_counts: TrafficCounts
 
     @property
@@ -53,6 +56,9 @@
     def on_load_report(self, attempt: UpstreamAttempt) -> None:
         """Handle the load report that a host sent with an answer."""
 
+    def on_attempt_allowed(self, exchange: Exchange) -> None:
+        """Handle that an attempt is about to be written to its host."""
+
     def release_if_done(self, exchange: Exchange) -> None:
         """Forget an exchange that is closed and has no attempt in flight."""
 
@@ -188,6 +194,8 @@
         if not self.closed:
             self.close()
             self.node.traffic_counts.on_answered(status)
+            if status == SERVICE_UNAVAILABLE:
+                self.node.sent_request_ids.discard(self.request_id)
             self.client.answer(status, body, retry_after_us, length)
 
     def close(self) -> None:
@@ -279,9 +287,10 @@
         if self.closed:
             return False
         latest_us = min(self.deadline_us, self.node.balancer.latest_start_us(self.number, number))
-        if self.node.loop.clock() >= latest_us:
+        if self.node.loop.clock() >= latest_us or self.client.has_disconnected():
             return False
-        return not self.client.has_disconnected()
+        self.node.on_attempt_allowed(self)
+        return True
 
     def on_settled(self, number: int, outcome: AttemptOutcome, body: bytes) -> None:
         """Handle an attempt's outcome: answer if it is final, then notify the decisions."""
@@ -327,6 +336,7 @@
         if self.deadline_timer:
             self.deadline_timer.cancel()
         self.node.open_request_ids.discard(self.request_id)
+        self.node.sent_request_ids.discard(self.request_id)
         self.node.exchanges.pop(self.number, None)
 
     def attach(self, attempt: UpstreamAttempt, is_streaming: bool) -> None:
@@ -336,4 +346,5 @@
         self.streaming_attempt = attempt if is_streaming else None
         if not is_streaming:
             self.node.traffic_counts.requests_adopted += 1
+            self.node.sent_request_ids.add(self.request_id, self.node.loop.now)
         self.node.exchanges[self.number] = self
--- a/orchidgap/net/handover/coordinator.py
+++ b/orchidgap/net/handover/coordinator.py
@@ -11,6 +11,7 @@
 from orchidgap.net.handover.sibling import MIN_DESCRIPTORS, InFlightState, SiblingProcess
 from orchidgap.net.handover.successor import Successor
 from orchidgap.net.loop import Loop
+from orchidgap.net.sent_request_ids import id_text
 
 SNAPSHOT_TIMEOUT_US = 1_500_000  # after which this process serves without a snapshot
 NOTIFY_INTERVAL_US = 5_000
@@ -106,7 +107,7 @@
 
     def is_request_open(self, request_id: bytes) -> bool:
         """Whether a request with this id is open in another process."""
-        name = request_id.decode("latin-1")
+        name = id_text(request_id)
         return any(name in sibling.open_request_ids for sibling in self.siblings())
 
     def notify_siblings(self) -> None:
@@ -125,8 +126,12 @@
         self.loop.call_later(NOTIFY_INTERVAL_US, self.notify_siblings)
 
     def in_flight_state(self) -> InFlightState:
-        """Return the requests and attempts that this process has in flight."""
-        request_ids = {request_id.decode("latin-1") for request_id in self.node.open_request_ids}
+        """Return the requests and attempts that this process has in flight.
+
+        The requests include those that are over and must not be executed again.
+        """
+        request_ids = {id_text(request_id) for request_id in self.node.open_request_ids}
+        request_ids.update(self.node.sent_request_ids.texts(self.loop.now))
         hosts = self.node.balancer.hosts.values()
         return InFlightState(
             request_ids, {host.id: host.in_flight for host in hosts if host.in_flight}
@@ -150,8 +155,9 @@
 
     def on_predecessor_disconnect(self, why: str) -> None:
         """Continue without the predecessor: it, or the channel to it, has ended."""
-        open_requests = len(self.predecessor.open_request_ids) if self.predecessor else 0
-        self.node.event_log("predecessor gone", why=why, reqs=open_requests)
+        open_ids = self.predecessor.open_request_ids if self.predecessor else set()
+        self.node.event_log("predecessor gone", why=why, reqs=len(open_ids))
+        self.node.sent_request_ids.add_texts(open_ids, self.loop.now)
         self.predecessor = None
         was_waiting = self.awaiting_snapshot
         self.awaiting_snapshot = False
@@ -163,6 +169,8 @@
     def on_successor_disconnect(self, why: str) -> None:
         """Restore the state before the handover: the successor failed, or ended first."""
         self.node.event_log("successor gone", why=why)
+        if self.successor:
+            self.node.sent_request_ids.add_texts(self.successor.open_request_ids, self.loop.now)
         self.successor = None
         self.node.lifecycle.set_successor_accepts(False)
         self.on_sibling_disconnect()
--- a/orchidgap/net/handover/ports.py
+++ b/orchidgap/net/handover/ports.py
@@ -11,6 +11,7 @@
 from orchidgap.net.connection_pools import ConnectionPools
 from orchidgap.net.endpoints import Endpoint, EndpointEntry
 from orchidgap.net.event_log import EventLog
+from orchidgap.net.sent_request_ids import SentRequestIds
 
 if TYPE_CHECKING:
     from orchidgap.decisions.balancer import Balancer
@@ -65,6 +66,10 @@
     def open_request_ids(self) -> Collection[bytes]:
         """Ids of the requests that have not been answered."""
 
+    @property
+    def sent_request_ids(self) -> SentRequestIds:
+        """Ids of the requests that must not be executed again."""
+
     @property
     def descriptor_limit(self) -> int:
         """How many descriptors this process may use."""
--- a/orchidgap/net/handover/sibling.py
+++ b/orchidgap/net/handover/sibling.py
@@ -10,6 +10,7 @@
 from orchidgap.net.handover.ports import HandoverNode
 from orchidgap.net.loop import Loop
 
+MAX_IDS_PER_PACKET = 256  # of each kind, as the size of a packet is limited
 MIN_DESCRIPTORS = 64  # descriptors that a successor may always use
 
 
@@ -79,6 +80,12 @@
             self.channel.send(DescriptorGrant(descriptors))
         opened = sorted(state.request_ids - self.last_sent.request_ids)
         closed = sorted(self.last_sent.request_ids - state.request_ids)
+        while len(opened) + len(closed) > MAX_IDS_PER_PACKET:
+            self.channel.send(
+                Counts(opened[:MAX_IDS_PER_PACKET], closed[:MAX_IDS_PER_PACKET], state.in_flight)
+            )
+            opened = opened[MAX_IDS_PER_PACKET:]
+            closed = closed[MAX_IDS_PER_PACKET:]
         self.channel.send(Counts(opened, closed, state.in_flight))
         self.last_sent = state
         self.granted_descriptors = descriptors
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -16,7 +16,7 @@
 from orchidgap.decisions.balancer import Balancer
 from orchidgap.decisions.host_list import ListScope
 from orchidgap.decisions.lifecycle import Lifecycle, LifecycleEvent
-from orchidgap.decisions.repeat_safety import Idempotency
+from orchidgap.decisions.repeat_safety import Idempotency, RepeatSafety
 from orchidgap.decisions.request_table import RequestTable
 from orchidgap.decisions.retry_policy import RetryPolicy, may_client_retry
 from orchidgap.decisions.settings import ServiceSettings
@@ -40,6 +40,7 @@
 from orchidgap.net.rejection_log import RejectionLog
 from orchidgap.net.request_handler import Responder
 from orchidgap.net.request_key import key_number
+from orchidgap.net.sent_request_ids import SentRequestIds
 from orchidgap.net.traffic_counts import TrafficCounts
 from orchidgap.net.upstream_attempt import UpstreamAttempt, parse_load_report
 
@@ -113,6 +114,7 @@
         self.protocol = protocol
         self.exchanges: dict[int, Exchange] = {}
         self.open_request_ids: set[bytes] = set()  # ids of requests not fully answered yet
+        self.sent_request_ids = SentRequestIds()
         self.last_request_number = 0
         self.traffic_counts = TrafficCounts()
         self.lifecycle = Lifecycle(loop.now, config.settings.longest_client_timeout_us)
@@ -169,9 +171,15 @@
         return name in self.config.settings.request_classes
 
     def is_request_open(self, request_id: bytes) -> bool:
-        """Whether a request of this id is open, here or in another process of this balancer."""
+        """Whether a request of this id is open, here or in another process of this balancer.
+
+        One that may have been executed, and must not be executed again, counts as open for some
+        time after its end: its client may have left, and sent it once more.
+        """
         if request_id in self.open_request_ids:
             return True
+        if self.sent_request_ids.contains(request_id, self.loop.now):
+            return True
         return self.handover.active and self.handover.is_request_open(request_id)
 
     def slot_owner(self, slot: int) -> str:
@@ -298,6 +306,17 @@
         in_flight = fields.get("concurrent")
         self.call_decisions(self.balancer.on_load_report, attempt.host, request_rate, in_flight)
 
+    def on_attempt_allowed(self, exchange: Exchange) -> None:
+        """Remember the id of a request that must not be executed again.
+
+        Requests of protocols without ids of their clients (`Idempotency.NEVER`) do not come again.
+        """
+        request = self.balancer.requests.get(exchange.number)
+        if request is None or request.idempotency is Idempotency.NEVER:
+            return
+        if request.repeat_safety is not RepeatSafety.IDEMPOTENT:
+            self.sent_request_ids.add(exchange.request_id, self.loop.now)
+
     def release_if_done(self, exchange: Exchange) -> None:
         """Forget an exchange that is closed and has no attempt in flight."""
         if not exchange.closed:
