Nothing is begun for a client that may have closed behind bytes that were not read

Cause: before each attempt the socket is asked for the end of the stream; a client's kernel sends it only after all bytes before it, and those wait as long as the receive buffer here is full, which it stays while reading is paused behind a waiting request.

--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -101,6 +101,13 @@
         """How much of a body may be buffered; a larger one is streamed."""
         return self.listener.handler.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
 
+    def may_have_disconnected(self) -> bool:
+        """Whether the client may have closed behind bytes that are not read.
+
+        Not while its body is being read: a host executes no request without its last byte.
+        """
+        return self.upload is None and self.conn.may_hide_close()
+
     # --- requests
 
     def on_data(self, view: memoryview) -> None:
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -29,6 +29,8 @@
 MAX_SEND_PARTS = 512  # the system refuses one write of more than 1,024
 MAX_READING_US = 1_000  # a connection whose bytes take longer to handle goes on in the next turn
 LINGER_RESET = struct.pack("ii", 1, 0)
+SO_MEMINFO = 55
+MEMINFO = struct.Struct("II")  # memory of received bytes, and the most that it may be
 
 
 class ConnectionOwner(Protocol):
@@ -342,6 +344,22 @@
         poll.register(self.sock, select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def may_hide_close(self) -> bool:
+        """Whether the peer may have closed behind bytes that its kernel could not deliver yet.
+
+        Its end of the stream comes after these. They wait there only while the receive buffer here
+        is so full that the kernel may accept no more.
+        """
+        if not self.is_open or self.sock.family == socket.AF_UNIX:
+            return False
+        try:
+            packed = self.sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
+            received, capacity = MEMINFO.unpack(packed)
+        except (OSError, struct.error):
+            return False
+        is_full: bool = received * 2 >= capacity
+        return is_full
+
     def is_stale(self) -> bool:
         """Whether an idle connection was closed by the peer or has unexpected bytes to read.
 
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -321,6 +321,8 @@
         latest_us = min(self.deadline_us, self.node.balancer.latest_start_us(self.number, number))
         if self.node.loop.clock() >= latest_us or self.client.has_disconnected():
             return False
+        if self.client.may_have_disconnected():
+            return False
         self.node.on_attempt_allowed(self)
         return True
 
--- a/orchidgap/net/request_handler.py
+++ b/orchidgap/net/request_handler.py
@@ -44,6 +44,9 @@
     def has_disconnected(self) -> bool:
         """Whether its client has closed; the connection is then closed, after this call."""
 
+    def may_have_disconnected(self) -> bool:
+        """Whether its client may have closed behind so many bytes that the close is not seen."""
+
     def answer(
         self, status: int, body: bytes = b"", retry_after_us: int = 0, length: int | None = None
     ) -> None:
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -122,6 +122,10 @@
         """Returns whether the client has closed its connection."""
         return self.queue.has_disconnected()
 
+    def may_have_disconnected(self) -> bool:
+        """Returns False: a pipeline may be longer than what is read of it."""
+        return False
+
     def set_encoded(self, encoded: bytes) -> None:
         """Stores the encoded answer and notifies the connection or the joined reply."""
         self.encoded = encoded
