--- a/orchidgap/http1/host_connection.py
+++ b/orchidgap/http1/host_connection.py
@@ -230,6 +230,8 @@
             return
         self.reader.feed(view)
         self.conn.max_read_bytes = self.reader.read_size()
+        # Otherwise an answer that has arrived comes before the timers that are due.
+        self.conn.set_deferrable(self.reader.reads_small_chunks)
         message = self.reader.message
         if message.error_status:
             self.on_closed("malformed response")
--- a/orchidgap/http1/readers.py
+++ b/orchidgap/http1/readers.py
@@ -124,6 +124,12 @@
             return max(1, min(bytes_remaining, MAX_BODY_READ_BYTES))
         return SMALL_CHUNKS_READ_BYTES if self.has_small_chunks else MAX_BODY_READ_BYTES
 
+    @property
+    def reads_small_chunks(self) -> bool:
+        """Whether a chunked body is arriving in small chunks."""
+        is_chunked = self.incoming.head_complete and self.incoming.chunk_tracker is not None
+        return is_chunked and not self.incoming.complete and self.has_small_chunks
+
     def join_small_parts(self, incoming: Message) -> None:
         """Joins the parts of a body that came in many, as each part takes memory of its own."""
         self.has_small_chunks = not 0 < len(incoming.body_parts) <= MAX_BODY_PARTS
--- a/orchidgap/net/client_connection.py
+++ b/orchidgap/net/client_connection.py
@@ -29,7 +29,7 @@
         # requests read so far; `begun_request_count` adds those that a protocol does not count here
         self.requests_read = 0
         self.requests_answered = 0
-        self.conn = Connection(listener.loop, sock, self, with_timestamps=True)
+        self.conn = Connection(listener.loop, sock, self, with_timestamps=True, deferrable=True)
 
     # --- implemented by each protocol
 
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -57,6 +57,7 @@
         "close_by_us",
         "closing",
         "connecting",
+        "deferrable",
         "discarded_bytes",
         "drained_at_us",
         "idle_timer",
@@ -84,6 +85,7 @@
         opening: bool = False,
         with_timestamps: bool = False,
         urgent: bool = False,
+        deferrable: bool = False,
     ) -> None:
         """Watch the socket.
 
@@ -94,6 +96,7 @@
             opening: Whether the connection was dialled and is not established yet.
             with_timestamps: Whether to have the kernel timestamp received bytes.
             urgent: Whether to read it before other connections that are ready in the same turn.
+            deferrable: Whether it may wait for a later turn if others take long.
         """
         self.loop = loop
         self.sock = sock
@@ -113,6 +116,7 @@
         self.close_by_us = 0  # when the connection is closed regardless of progress; 0 for never
         self.timestamps_enabled = False
         self.urgent = urgent
+        self.deferrable = deferrable
         self.received_at_us = 0  # when the bytes read last arrived, as far as that is known
         self.drained_at_us = 0  # when all bytes that had arrived were last read
         self.left_unread = False  # bytes may be left by the last look at the socket
@@ -123,7 +127,7 @@
             if with_timestamps:
                 self.timestamps_enabled = enable_receive_timestamps(sock)
         self.mask = WRITE if opening else READ
-        loop.watch(sock, self.mask, self.on_ready, urgent, deferrable=True)
+        loop.watch(sock, self.mask, self.on_ready, urgent, deferrable)
 
     @property
     def is_open(self) -> bool:
@@ -323,7 +327,7 @@
         if not mask:
             self.loop.unwatch(self.sock)
         elif not previous:
-            self.loop.watch(self.sock, mask, self.on_ready, self.urgent, deferrable=True)
+            self.loop.watch(self.sock, mask, self.on_ready, self.urgent, self.deferrable)
         else:
             self.loop.rewatch(self.sock, mask, self.on_ready)
 
@@ -334,6 +338,14 @@
             if not self.connecting:
                 self.update_watch()
 
+    def set_deferrable(self, deferrable: bool) -> None:
+        """Change whether the connection may wait for a later turn if others take long."""
+        if deferrable == self.deferrable:
+            return
+        self.deferrable = deferrable
+        if self.is_open and self.mask:
+            self.loop.set_deferrable(self.sock, deferrable)
+
     # --- the state of the peer
 
     def peer_has_closed(self) -> bool:
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -181,6 +181,15 @@
         self.deferrable_descriptors.discard(key.fd)
         self.costly_descriptors.pop(key.fd, None)
 
+    def set_deferrable(self, sock: socket.socket, deferrable: bool) -> None:
+        """Change whether calls for a watched socket may wait for a later turn."""
+        descriptor = sock.fileno()
+        if deferrable:
+            self.deferrable_descriptors.add(descriptor)
+        else:
+            self.deferrable_descriptors.discard(descriptor)
+            self.costly_descriptors.pop(descriptor, None)
+
     def call_later(self, delay_us: int, callback: Callable[..., None], *args: Any) -> Timer:
         """Call after a delay in microseconds, counted from `now`."""
         return self.call_at(self.now + delay_us, callback, *args)
--- a/orchidgap/simulation/balancer_loop.py
+++ b/orchidgap/simulation/balancer_loop.py
@@ -153,6 +153,9 @@
         if sock not in self.opening:
             self.shared_loop.rewatch(sock, mask, lambda ready: self.enter(callback, ready))
 
+    def set_deferrable(self, sock: Any, deferrable: bool) -> None:
+        """Do nothing: callbacks take no time on the virtual clock, so none is deferred."""
+
     def unwatch(self, sock: Any) -> None:
         """Stop watching a socket without closing it."""
         del self.watched[sock]
