--- a/orchidgap/http1/readers.py
+++ b/orchidgap/http1/readers.py
@@ -54,6 +54,7 @@
     b"content-length",
     b"expect",
     b"not-started",
+    b"retry-after",
     b"server-load",
 }
 
