--- a/orchidgap/resp/reader.py
+++ b/orchidgap/resp/reader.py
@@ -125,6 +125,13 @@
             del self.buffer[:end]
             self.position = 0
 
+    def discard(self) -> None:
+        """Drops all bytes that have arrived, as nothing more is read."""
+        self.buffer = bytearray()
+        self.position = 0
+        self.bytes_needed = 0
+        self.scanner = None
+
     def unread_bytes(self) -> int:
         """Returns the number of bytes that have arrived and were not read."""
         return len(self.buffer) - self.position
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -19,6 +19,7 @@
 from orchidgap.resp.command_scheduler import CommandScheduler
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
 from orchidgap.resp.config import RespConfig
+from orchidgap.resp.framing import MAX_ITEM_BYTES
 from orchidgap.resp.local_commands import LOCAL_COMMANDS, OK, slot_of_key
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.replies import JoinedReply, Reply
@@ -36,6 +37,7 @@
 MAX_FINAL_READS = 16  # reads before a connection ends, so that a flood cannot prevent the end
 SERVICE_UNAVAILABLE = 503
 COMMANDS_BEFORE_LOGIN = (b"AUTH", b"HELLO", b"QUIT", b"RESET")
+MEMORY_IS_SHORT = "TRYAGAIN not enough memory for the command now"
 REJECTIONS = {
     408: "ERR a command that does not end",
     503: "ERR max number of clients reached",
@@ -226,12 +228,12 @@
 
         Called when all complete commands have been handled.
         """
+        memory_pressure = self.listener.handler.memory_pressure
         if self.reader.error:
-            self.has_last_command = True
-            reply = Reply(self)
-            self.replies.append(reply)
-            reply.set_encoded(encode_error(f"ERR Protocol error: {self.reader.error}"))
-            self.process_input()  # handles nothing more
+            self.end_with_error(f"ERR Protocol error: {self.reader.error}")
+        elif self.reader.unread_bytes() > memory_pressure.buffer_bytes(MAX_ITEM_BYTES):
+            self.listener.counts.rejections[SERVICE_UNAVAILABLE] += 1
+            self.end_with_error(MEMORY_IS_SHORT)
         elif self.replies:
             return
         elif self.is_ending and not self.reader.unread_bytes():
@@ -246,6 +248,15 @@
             self.listener.idle[self] = None
             self.listener.trim_idle()
 
+    def end_with_error(self, text: str) -> None:
+        """Answers with an error after the outstanding replies, and ends the connection then."""
+        self.has_last_command = True
+        self.reader.discard()
+        reply = Reply(self)
+        self.replies.append(reply)
+        reply.set_encoded(encode_error(text))
+        self.process_input()  # handles nothing more
+
     def finish_if_answered(self) -> None:
         """Ends the connection if all that has arrived is answered, and no command is incomplete.
 
--- a/tests/resp/test_resp_memory.py
+++ b/tests/resp/test_resp_memory.py
@@ -95,3 +95,22 @@
     cluster.advance(3_000_000)
     assert not cluster.node.exchanges
     assert max(resting_bytes(cluster)) < MAX_RESTING_BYTES
+
+
+@pytest.mark.parametrize(("used_mb", "is_refused"), [(100, False), (180, True)])
+def test_half_a_large_command_is_refused_while_memory_is_short(used_mb, is_refused):
+    # Half commands of hundreds of clients take 1 MB each.
+    cluster = RespCluster()
+    cluster.node.memory_pressure.limit_mb = 200
+    cluster.node.memory_pressure.measure = lambda: used_mb << 20
+    client = Client(cluster)
+    [key] = cluster.keys_of()
+    command = encode_command(b"SET", key, VALUE)
+    replies = client.send(encode_command(b"PING") + command[:400_000])
+    assert replies.startswith(b"+PONG\r\n") and replies.count(b"\r\n") == 1 + is_refused
+    if is_refused:
+        assert b"-TRYAGAIN" in replies and client.end_reason == "closed"
+        assert not any(size > MAX_RESTING_BYTES for size in resting_bytes(cluster))
+    else:
+        assert client.send(command[400_000:]) == b"+OK\r\n"
+    assert bool(cluster.received_commands(b"SET")) != is_refused
