--- a/orchidgap/net/memory_pressure.py
+++ b/orchidgap/net/memory_pressure.py
@@ -15,6 +15,7 @@
 BYTES_PER_MB = 1 << 20
 SHORT_ABOVE_RATIO = 0.7  # of the limit
 SHORT_BUFFER_BYTES = 1 << 14  # what may be buffered of one body while memory is short
+CHECK_INTERVAL_US = 1_000_000  # how often a change is looked for to be reported
 REFRESH_US = 5_000  # how long one look at the resident size is used
 RESIDENT_PAGES_FIELD = 1  # in /proc/self/statm
 
@@ -44,6 +45,24 @@
         self.measure: Callable[[], int] | None = None
         self._measured_at_us: int | None = None
         self._used_bytes = 0
+        self._reported_short = False
+
+    def watch(
+        self, measure: Callable[[], int], on_change: Callable[[bool, int, int], None]
+    ) -> None:
+        """Measure from now on, and report when memory becomes short or suffices again.
+
+        `on_change` is called with whether it is short, the MB in use, and the limit in MB.
+        """
+        self.measure = measure
+        self._report_change(on_change)
+
+    def _report_change(self, on_change: Callable[[bool, int, int], None]) -> None:
+        is_short = self.is_short
+        if is_short != self._reported_short:
+            self._reported_short = is_short
+            on_change(is_short, self._used_bytes // BYTES_PER_MB, self.limit_mb)
+        self.loop.call_later(CHECK_INTERVAL_US, self._report_change, on_change)
 
     def buffer_bytes(self, usual_bytes: int) -> int:
         """Return how much of one body may be buffered, where it is `usual_bytes` by default."""
--- a/orchidgap/net/node_lifecycle.py
+++ b/orchidgap/net/node_lifecycle.py
@@ -119,6 +119,16 @@
         else:
             self.loop.call_later(DRAIN_STEP_US, self.drain_step, transition_number)
 
+    def on_memory_pressure(self, is_short: bool, used_mb: int, limit_mb: int) -> None:
+        """Log that memory is short, or is no longer, with what is open."""
+        self.event_log(
+            "memory short" if is_short else "memory sufficient",
+            used_mb=used_mb,
+            limit_mb=limit_mb,
+            reqs=len(self.exchanges),
+            clients=len(self.clients.open_clients),
+        )
+
     def traffic_log_fields(self) -> dict[str, dict[str, int]]:
         """Return the counts of connections and requests since the start, for a log line."""
         return self.traffic_counts.log_fields() | self.rejection_log.log_fields()
--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -87,7 +87,7 @@
         )
     else:
         node = Node(loop, balancer_config, log, protocol, make_balancer=make_balancer)
-    node.memory_pressure.measure = resident_bytes
+    node.memory_pressure.watch(resident_bytes, node.on_memory_pressure)
     wakeup = handle_signals(loop, node, path)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
     admin_server = make_admin_server(loop, node)
--- a/tests/net/test_memory_pressure.py
+++ b/tests/net/test_memory_pressure.py
@@ -130,3 +130,14 @@
 
 def test_the_resident_size_is_known():
     assert resident_bytes() > BYTES_PER_MB
+
+
+def test_short_memory_is_logged_once_and_its_end_too():
+    # No log line told that a process was near its limit before it was killed.
+    net, used_mb = node_with_memory_in_use(90), [90]
+    net.node.memory_pressure.watch(lambda: used_mb[0] * BYTES_PER_MB, net.node.on_memory_pressure)
+    net.advance(3_000_000)
+    assert [line for line in net.log.lines if "memory" in line] == ["memory short"]
+    used_mb[0] = 60
+    net.advance(3_000_000)
+    assert [line for line in net.log.lines if "memory" in line][1:] == ["memory sufficient"]
