--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -27,6 +27,7 @@
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.connection import Connection
+from orchidgap.net.memory_pressure import SHORT_BUFFER_BYTES
 from orchidgap.net.request_handler import PendingRequest
 from orchidgap.net.traffic_counts import ConnectionEnd
 
@@ -96,6 +97,11 @@
         """How many requests were read at least in part."""
         return self.requests_read + len(self.reader.pipelined)
 
+    def exceeds_buffer(self, message: Message) -> bool:
+        """Whether the body of a message is too large to be buffered now."""
+        may_exceed = message.is_larger_than(SHORT_BUFFER_BYTES)
+        return may_exceed and message.is_larger_than(self.max_buffered_bytes)
+
     @property
     def max_buffered_bytes(self) -> int:
         """How much of a body may be buffered; a larger one is streamed."""
@@ -120,6 +126,7 @@
             self.requests_read += 1
         reader.feed(view)
         self.conn.max_read_bytes = reader.read_size()
+        self.conn.at_message_end = reader.incoming.complete
         reader.incoming.received_at_us = self.conn.received_at_us
         if reader.pipelined:
             for message in (reader.message, *reader.pipelined):
@@ -149,7 +156,7 @@
         elif message.complete:
             self.listener.awaiting_request.pop(self, None)
             self.accept_request()
-        elif message.head_complete and message.is_larger_than(self.max_buffered_bytes):
+        elif message.head_complete and self.exceeds_buffer(message):
             self.accept_request()
         elif message.head_complete:
             self.send_continue(message)
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -53,6 +53,7 @@
     """One connection. Its owner receives its events and closes it."""
 
     __slots__ = (
+        "at_message_end",
         "bytes_written",
         "close_by_us",
         "closing",
@@ -110,6 +111,7 @@
         self.closing = False  # nothing more is sent, and received bytes are discarded
         self.read_paused = False  # there is no buffer space for more input
         self.max_read_bytes = READ_BUFFER_BYTES  # for one read; the rest stays in the kernel
+        self.at_message_end = False  # no more is expected to have arrived than was read
         # closes the connection unless the peer makes progress: reads, sends or closes
         self.idle_timer: Timer | None = None
         self.last_progress_us = 0  # when the peer last made progress
@@ -162,8 +164,8 @@
         """Read as much as the loop's buffer holds; less if handling it takes long."""
         self.was_behind = self.left_unread
         self.left_unread = True
-        begun_us = self.loop.clock()
         bytes_left = READ_BUFFER_BYTES
+        begun_us = 0
         while bytes_left > 0:
             size = self.max_read_bytes
             count = self.read()
@@ -172,9 +174,11 @@
                 self.left_unread = False
                 self.drained_at_us = self.loop.now
                 return
-            if self.closing or self.read_paused or not self.is_open:
+            if self.at_message_end or self.closing or self.read_paused or not self.is_open:
                 return
-            if self.loop.clock() - begun_us >= MAX_READING_US:
+            now_us = self.loop.clock()
+            begun_us = begun_us or now_us
+            if now_us - begun_us >= MAX_READING_US:
                 return
 
     def read(self) -> int:
--- a/orchidgap/net/loop.py
+++ b/orchidgap/net/loop.py
@@ -275,7 +275,7 @@
                 postponed = []
             if key.fd not in self.deferrable_descriptors:
                 self.run_callback(key.data, mask)
-            elif key.fd in self.costly_descriptors:
+            elif self.costly_descriptors and key.fd in self.costly_descriptors:
                 costly.append((key, mask))
             elif spent_us >= MAX_CALLS_US:
                 deferred[key.fd] = len(deferred)
@@ -319,8 +319,12 @@
         begun_us = self.clock()
         self.run_callback(key.data, mask)
         duration_us = self.clock() - begun_us
-        self.costly_descriptors.pop(key.fd, None)
-        if duration_us >= COSTLY_CALL_US and key.fd in self.deferrable_descriptors:
+        if duration_us < COSTLY_CALL_US:
+            if self.costly_descriptors:
+                self.costly_descriptors.pop(key.fd, None)
+            return duration_us
+        self.costly_descriptors.pop(key.fd, None)  # reinserted, as the order is that of the calls
+        if key.fd in self.deferrable_descriptors:
             self.costly_descriptors[key.fd] = None
         return min(duration_us, MAX_COUNTED_CALL_US)
 
--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -30,7 +30,7 @@
 BIND_TIMEOUT_S = 10.0  # a previous process that was killed may still hold the address
 BIND_RETRY_S = 0.05
 # New objects before a collection of the youngest, and how many such collections before the older.
-COLLECTION_THRESHOLDS = (1_000, 4, 3)
+COLLECTION_THRESHOLDS = (1_000, 4, 4)
 
 
 class LeaseHolder(Protocol):
