--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -32,8 +32,6 @@
 from orchidgap.net.traffic_counts import ConnectionEnd
 
 MIN_BODY_PROGRESS_BYTES = 1 << 14  # body bytes that have to arrive within `REQUEST_TIMEOUT_US`
-MAX_PIPELINED = 8  # requests that may be queued after the current one
-MAX_PIPELINED_BODY_BYTES = 1 << 14  # of their bodies together, before reading is paused
 SERVICE_UNAVAILABLE = 503
 READINESS_TARGET = ("up", b"")  # `GET /up` is the readiness check
 
@@ -131,19 +129,10 @@
         if reader.pipelined:
             for message in (reader.message, *reader.pipelined):
                 message.received_at_us = message.received_at_us or self.conn.received_at_us
-            if self.has_enough_pipelined():
+            if reader.has_enough():
                 self.conn.pause_reading(True)
         self.process_message()
 
-    def has_enough_pipelined(self) -> bool:
-        """Whether as much is queued after the current request as may be; the rest is not read."""
-        pipelined = self.reader.pipelined
-        if len(pipelined) >= MAX_PIPELINED:
-            return True
-        body_bytes = sum(message.body_size for message in pipelined)
-        has_error = bool(pipelined) and pipelined[-1].error_status > 0
-        return has_error or body_bytes >= MAX_PIPELINED_BODY_BYTES
-
     def process_message(self) -> None:
         """Processes as much of the oldest request as has arrived."""
         message = self.reader.message
@@ -375,7 +364,7 @@
             return
         reader.advance()
         self.body_size_at_progress = 0
-        if self.conn.read_paused and not self.has_enough_pipelined():
+        if self.conn.read_paused and not reader.has_enough():
             self.conn.pause_reading(False)
         if reader.started:
             self.requests_read += 1
--- a/orchidgap/net/body_arrival.py
+++ b/orchidgap/net/body_arrival.py
@@ -8,17 +8,12 @@
 
 from __future__ import annotations
 
-import fcntl
 import socket
-import struct
-import termios
 
 from orchidgap.net.body_stream import Upload
-from orchidgap.net.connection import Connection
 
 # Bytes that the kernel of a client may hold unsent: the most that Linux allows by default.
 MAX_SEND_BUFFER_BYTES = 4 << 20
-BYTE_COUNT = struct.Struct("i")
 
 
 class BodyArrival:
@@ -47,7 +42,7 @@
             self.incomplete_at_us = max(self.incomplete_at_us, now_us)
 
     def _is_incomplete(self) -> bool:
-        unread_bytes = count_unread_bytes(self.source)
+        unread_bytes = self.source.count_unread_bytes()
         if unread_bytes == 0:
             return True
         length = self.upload.length
@@ -65,15 +60,3 @@
         if not self.source.was_behind:
             return received_at_us
         return min(received_at_us, self.incomplete_at_us)
-
-
-def count_unread_bytes(connection: Connection) -> int:
-    """Return how many bytes have arrived and were not read; 0 if the connection has ended."""
-    if not connection.is_open:
-        return 0
-    try:
-        packed = fcntl.ioctl(connection.sock, termios.FIONREAD, bytes(BYTE_COUNT.size))
-    except OSError:
-        return 0
-    count: int = BYTE_COUNT.unpack(packed)[0]
-    return count
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import os
-import select
 import socket
 import struct
 import time
@@ -11,6 +10,7 @@
 from contextlib import suppress
 from typing import Protocol
 
+from orchidgap.net import socket_state
 from orchidgap.net.loop import READ, READ_BUFFER_BYTES, WRITE, Loop, Timer
 from orchidgap.net.receive_timestamps import (
     ANCILLARY_BYTES,
@@ -29,8 +29,6 @@
 MAX_SEND_PARTS = 512  # the system refuses one write of more than 1,024
 MAX_READING_US = 1_000  # a connection whose bytes take longer to handle goes on in the next turn
 LINGER_RESET = struct.pack("ii", 1, 0)
-SO_MEMINFO = 55
-MEMINFO = struct.Struct("II")  # memory of received bytes, and the most that it may be
 
 
 class ConnectionOwner(Protocol):
@@ -354,49 +352,26 @@
 
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed, even if bytes that it sent before are still unread."""
-        if not self.is_open:
-            return True
-        poll = select.poll()
-        poll.register(self.sock, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return not self.is_open or socket_state.peer_has_closed(self.sock)
 
     def may_hide_close(self) -> bool:
-        """Whether the peer may have closed behind bytes that its kernel could not deliver yet.
-
-        Its end of the stream comes after these. They wait there only while the receive buffer here
-        is so full that the kernel may accept no more.
-        """
-        if not self.is_open or self.sock.family == socket.AF_UNIX:
-            return False
-        try:
-            packed = self.sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
-            received, capacity = MEMINFO.unpack(packed)
-        except (OSError, struct.error):
-            return False
-        is_full: bool = received * 2 >= capacity
-        return is_full
+        """Whether the peer may have closed behind bytes that the kernel could not deliver yet."""
+        return self.is_open and socket_state.may_hide_close(self.sock)
 
     def is_stale(self) -> bool:
         """Whether an idle connection was closed by the peer or has unexpected bytes to read.
 
         Such bytes would be taken for the answer to the next request.
         """
-        try:
-            self.sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        return socket_state.is_readable(self.sock)
 
     def has_unread_bytes(self) -> bool:
         """Whether received bytes have not been read yet; closing now would reset the connection."""
-        if not self.is_open:
-            return False
-        try:
-            return bool(self.sock.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return self.is_open and socket_state.has_unread_bytes(self.sock)
+
+    def count_unread_bytes(self) -> int:
+        """Return how many bytes have arrived and were not read; 0 if the connection has ended."""
+        return socket_state.count_unread_bytes(self.sock) if self.is_open else 0
 
     # --- its end
 
--- /dev/null
+++ b/orchidgap/net/socket_state.py
@@ -0,0 +1,66 @@
+"""What the kernel tells of the other end of a connection, and of bytes that were not read."""
+
+from __future__ import annotations
+
+import fcntl
+import select
+import socket
+import struct
+import termios
+
+SO_MEMINFO = 55
+MEMINFO = struct.Struct("II")  # memory of received bytes, and the most that it may be
+BYTE_COUNT = struct.Struct("i")
+
+
+def peer_has_closed(sock: socket.socket) -> bool:
+    """Whether the peer has closed, even if bytes that it sent before are still unread."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
+def may_hide_close(sock: socket.socket) -> bool:
+    """Whether the peer may have closed behind bytes that its kernel could not deliver yet.
+
+    Its end of the stream comes after these. They wait there only while the receive buffer here is
+    so full that the kernel may accept no more.
+    """
+    if sock.family == socket.AF_UNIX:
+        return False
+    try:
+        packed = sock.getsockopt(socket.SOL_SOCKET, SO_MEMINFO, MEMINFO.size)
+        received, capacity = MEMINFO.unpack(packed)
+    except (OSError, struct.error):
+        return False
+    is_half_full: bool = received * 2 >= capacity
+    return is_half_full
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Whether a read would return at once: with bytes, the end of the stream, or an error."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        pass
+    return True
+
+
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Whether received bytes have not been read yet; closing now would reset the connection."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
+def count_unread_bytes(sock: socket.socket) -> int:
+    """Return how many bytes have arrived and were not read; 0 if that is not known."""
+    try:
+        packed = fcntl.ioctl(sock, termios.FIONREAD, bytes(BYTE_COUNT.size))
+    except OSError:
+        return 0
+    count: int = BYTE_COUNT.unpack(packed)[0]
+    return count
--- a/tests/net/test_memory_pressure.py
+++ b/tests/net/test_memory_pressure.py
@@ -4,7 +4,7 @@
 from streaming_scenarios import held_bytes, received_bytes, shrink_send_buffers
 
 from orchidgap.http1.messages import MAX_BUFFERED_BODY_BYTES
-from orchidgap.http1.server import MAX_PIPELINED_BODY_BYTES
+from orchidgap.http1.readers import MAX_PIPELINED_BODY_BYTES
 from orchidgap.net.loop import READ_BUFFER_BYTES
 from orchidgap.net.memory_pressure import BYTES_PER_MB, SHORT_BUFFER_BYTES, resident_bytes
 
