Connections to a host's older process carry nothing new once a newer one is listed

Found by a test: discovery lists the same host at the same address with a later start; the pool was kept, so a connection to the older process, still ending, was used for the next request, whether it rested or was just answered: to a host that has gone, and over its drain. Cause: a pool was identified by host and address alone, its start was known to the decisions only. Now a later start retires the pool: what is in flight there is finished, what rests is closed, and the new process gets a pool of its own. A list that comes late can't be told from one that is right, and RESP lists no starts: open.

--- a/orchidgap/net/connection_pools.py
+++ b/orchidgap/net/connection_pools.py
@@ -133,6 +133,15 @@
         for host in sorted(absent):
             self.by_host.pop(host).retire()
 
+    def drop_process(self, host: str) -> None:
+        """Send nothing more on the connections to a host, as a newer process has its place.
+
+        The older one may still be ending at the same address, with connections that work.
+        """
+        pool = self.by_host.pop(host, None)
+        if pool:
+            pool.retire()
+
     def send(self, host: str, attempt: UpstreamAttempt) -> None:
         """Send an attempt to a host; in the next turn if this one is stalled.
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -283,6 +283,10 @@
         self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]
     ) -> None:
         """Store the list for a successor process, and apply it to the connection pools."""
+        for entry in entries:
+            known = self.endpoints.get(entry[0])
+            if known and entry[2] > known[0][2]:
+                self.pools.drop_process(entry[0])
         self.pools.apply_endpoints(whole, endpoints)
         if whole:
             self.endpoints.clear()
--- a/tests/net/test_discovered_hosts.py
+++ b/tests/net/test_discovered_hosts.py
@@ -157,3 +157,36 @@
     assert [port for port, _ in net.dialled[dialled:]] == [109], (
         "the origin, not the draining cache"
     )
+
+
+@pytest.mark.parametrize("in_use", [True, False])
+def test_connections_to_a_host_that_was_replaced_at_its_address_carry_nothing_new(in_use):
+    """A new process of a host serves at the address of the one before it, which is still ending.
+    Connections to the old process were used for new requests.
+    """
+    net = NodeHarness(1)
+    client = net.send_request("k1")
+    old_process = net.host_socket()
+    if not in_use:
+        net.answer_from_host(old_process)
+    push_host_list(net, 41, True, [net.host_entry(0, born=5_000), net.host_entry(9)])
+    assert host_states(net)["c0"] == "up"
+    if in_use:
+        received_text(old_process)
+        net.answer_from_host(old_process)
+    assert received_text(client).startswith("HTTP/1.1 200"), "what was in flight is finished"
+    net.advance(1_000)
+    net.send_request("k2")
+    assert net.host_socket() is not old_process
+    assert "/read/k2" in received_text(net.host_socket())
+
+
+def test_a_list_that_repeats_the_start_of_a_host_keeps_its_connections():
+    net = NodeHarness(1)
+    push_host_list(net, 41, True, [net.host_entry(0, born=5_000), net.host_entry(9)])
+    net.send_request("k1")
+    net.answer_from_host(net.host_socket())
+    count = len(net.host_sockets())
+    push_host_list(net, 42, False, [net.host_entry(0, born=5_000)])
+    net.send_request("k2")
+    assert len(net.host_sockets()) == count
