Tests: balancers of the harness use a loopback address of their own process

A balancer of the new fault tests looked for discovery at a port that had been free when the test began; an unrelated test's listener got that port, and the call. Shown: a listener at that port receives GET /discovery/hosts within seconds. Each test process has an address in 127/8 now, so that ports of others are not reached.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -25,9 +25,22 @@
 RULE_SETS = (("read", "retryable"), ("write", "retryable"), ("pay", "fragile"))
 
 
+def address_of_this_process():
+    """Return a loopback address that no other process uses.
+
+    Otherwise a balancer that looks for discovery could reach the listener of another test, which
+    was given the same port.
+    """
+    number = os.getpid()
+    return f"127.{64 + (number >> 16 & 63)}.{number >> 8 & 255}.{number & 255}"
+
+
+ADDRESS = address_of_this_process()
+
+
 def free_port():
-    """Return a loopback port without a listener."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
+    """Return a port of this process's address without a listener."""
+    with socket.create_server((ADDRESS, 0)) as sock:
         return sock.getsockname()[1]
 
 
@@ -61,7 +74,7 @@
         self.executions, self.work_s, self.read_bytes_per_s = [], 0.002, 0
         self.slow_work_s = 5.0
         self.answer = lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.listener = socket.create_server((ADDRESS, 0), backlog=512)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -139,7 +152,7 @@
         hosts = [
             {
                 "host": f"h-{host_class}",
-                "dial": f"127.0.0.1:{self.host.port}",
+                "dial": f"{ADDRESS}:{self.host.port}",
                 "site": "z",
                 "class": host_class,
                 "block": 1,
@@ -152,8 +165,8 @@
         timeout_us = round(CLIENT_TIMEOUT_S * 1e6)
         return {
             "name": "n",
-            "listen": f"127.0.0.1:{self.port}",
-            "discovery": f"127.0.0.1:{free_port()}",
+            "listen": f"{ADDRESS}:{self.port}",
+            "discovery": f"{ADDRESS}:{free_port()}",
             "seed": "7",
             "limits": {"memory_mb": memory_mb, "sockets": DESCRIPTORS},
             "known": {"seq": 1, "whole": True, "hosts": hosts},
@@ -197,7 +210,7 @@
         if receive_buffer_bytes:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
         try:
-            sock.connect(("127.0.0.1", self.port))
+            sock.connect((ADDRESS, self.port))
         except OSError:
             sock.close()
             raise
