--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -251,6 +251,7 @@
     def end_with_error(self, text: str) -> None:
         """Answers with an error after the outstanding replies, and ends the connection then."""
         self.has_last_command = True
+        self.requests_read += self.reader.unread_bytes() > 0  # it is answered, so it counts
         self.reader.discard()
         reply = Reply(self)
         self.replies.append(reply)
--- a/tests/resp/test_last_replies.py
+++ b/tests/resp/test_last_replies.py
@@ -42,3 +42,13 @@
     client.conn.close()
     cluster.advance(2_000_000)
     assert not cluster.node.clients.open_clients and not cluster.node.exchanges
+
+
+def test_bytes_that_are_no_command_count_as_read_and_answered():
+    # The counts of a connection are compared: what was read has to be answered.
+    cluster = RespCluster()
+    client = Client(cluster)
+    client.call(b"PING")
+    [connection] = cluster.node.clients.open_clients
+    assert b"Protocol error" in client.send(b"*1\r\n+x\r\n")
+    assert connection.begun_request_count == connection.requests_answered == 2
