One rule for what is buffered, and the readers' reset stands once

Clean-up, behaviour unchanged: Message.exceeds_buffer serves requests and responses, whose copies differed in looking at the memory for small bodies; ResponseReader.reset was the start of MessageReader again; a property that passed on another and indices into an entry's fields are gone. 1,472 tests of http1, net, resp, control and compatibility passed.

--- a/orchidgap/http1/host_connection.py
+++ b/orchidgap/http1/host_connection.py
@@ -247,13 +247,10 @@
     def on_partial_response(self, attempt: UpstreamAttempt, message: Message) -> None:
         """Decides whether to wait for the rest of a response, or to stream it."""
         if message.status != 200:
-            if message.is_larger_than(
-                MAX_BUFFERED_BODY_BYTES
-            ):  # only the status matters: the body is not read to its end
+            if message.is_larger_than(MAX_BUFFERED_BODY_BYTES):
+                # only the status matters: the body is not read to its end
                 self.finish_attempt(outcome_of_response(message))
-        elif message.is_larger_than(
-            self.pool.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
-        ):
+        elif message.exceeds_buffer(self.pool.memory_pressure):
             self.start_streaming(attempt)
         elif message.content_length is None and not self.timer:
             hold_us = attempt.response_hold_us
--- a/orchidgap/http1/message_reader.py
+++ b/orchidgap/http1/message_reader.py
@@ -79,6 +79,10 @@
         """Limits bodies to `max_body_bytes`."""
         self.max_body_bytes = max_body_bytes
         self.has_small_chunks = True
+        self.reset()
+
+    def reset(self) -> None:
+        """Prepares for the next message on the same connection."""
         self.message = Message()
         self.incoming = self.message
         self.started = False
--- a/orchidgap/http1/messages.py
+++ b/orchidgap/http1/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from orchidgap.http1.chunked_encoding import ChunkTracker
+from orchidgap.net.memory_pressure import SHORT_BUFFER_BYTES, MemoryPressure
 
 MAX_TARGET_BYTES = 1 << 14
 MAX_HEAD_BYTES = 1 << 14  # without the target of a request
@@ -71,6 +72,12 @@
         """The parts of the body that `take_body` has not returned yet, joined."""
         return b"".join(self.body_parts)
 
+    def exceeds_buffer(self, memory_pressure: MemoryPressure) -> bool:
+        """Whether the body is known to be too large to be buffered whole, as memory is now."""
+        if not self.is_larger_than(SHORT_BUFFER_BYTES):  # fits in any case: memory is not looked at
+            return False
+        return self.is_larger_than(memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES))
+
     def is_larger_than(self, size: int) -> bool:
         """Whether the body is known to have more bytes than `size`."""
         if self.body_size > size:
--- a/orchidgap/http1/readers.py
+++ b/orchidgap/http1/readers.py
@@ -131,14 +131,6 @@
         self.parser = httptools.HttpResponseParser(self)
         self.reset()
 
-    def reset(self) -> None:
-        """Prepares for the next response on the same connection."""
-        self.message = Message()
-        self.incoming = self.message
-        self.started = False
-        self.has_excess_data = False
-        self.head_count = 0
-
     def feed(self, view: memoryview) -> None:
         """Parses bytes that have arrived; those after a complete response are excess data."""
         if self.incoming.complete:
--- a/orchidgap/http1/server.py
+++ b/orchidgap/http1/server.py
@@ -27,7 +27,6 @@
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.connection import Connection
-from orchidgap.net.memory_pressure import SHORT_BUFFER_BYTES
 from orchidgap.net.request_handler import PendingRequest
 from orchidgap.net.traffic_counts import ConnectionEnd
 
@@ -48,6 +47,7 @@
         streaming: a response is being streamed.
         closes_after_stream: the connection is closed after that response.
         chunked: the body of that response is chunked.
+        memory_pressure: whether memory is short.
         stream_source: the host's connection that the response is read from.
         unblocked_at_us: when a request was last unblocked by the answer to the one before it; 0 if
             none was.
@@ -58,6 +58,7 @@
         "body_size_at_progress",
         "chunked",
         "closes_after_stream",
+        "memory_pressure",
         "pending_request",
         "reader",
         "stream_source",
@@ -77,6 +78,7 @@
         self.chunked = False
         self.stream_source: Connection | None = None
         self.unblocked_at_us = 0
+        self.memory_pressure = clients.handler.memory_pressure
         super().__init__(clients, sock)
         self.conn.max_read_bytes = self.reader.read_size()
 
@@ -95,16 +97,6 @@
         """How many requests were read at least in part."""
         return self.requests_read + len(self.reader.pipelined)
 
-    def exceeds_buffer(self, message: Message) -> bool:
-        """Whether the body of a message is too large to be buffered now."""
-        may_exceed = message.is_larger_than(SHORT_BUFFER_BYTES)
-        return may_exceed and message.is_larger_than(self.max_buffered_bytes)
-
-    @property
-    def max_buffered_bytes(self) -> int:
-        """How much of a body may be buffered; a larger one is streamed."""
-        return self.listener.handler.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
-
     def may_have_disconnected(self) -> bool:
         """Whether the client may have closed behind bytes that are not read.
 
@@ -145,7 +137,7 @@
         elif message.complete:
             self.listener.awaiting_request.pop(self, None)
             self.accept_request()
-        elif message.head_complete and self.exceeds_buffer(message):
+        elif message.head_complete and message.exceeds_buffer(self.memory_pressure):
             self.accept_request()
         elif message.head_complete:
             self.send_continue(message)
@@ -242,7 +234,8 @@
             self.pass_to_handler(message, fields, len(body), body, None)
             return
         self.send_continue(message)
-        self.upload = Upload(self.conn, message.content_length, self.max_buffered_bytes)
+        kept_bytes = self.memory_pressure.buffer_bytes(MAX_BUFFERED_BODY_BYTES)
+        self.upload = Upload(self.conn, message.content_length, kept_bytes)
         self.upload.add(message.take_body(), False)
         self.body_size_at_progress = max(1, message.body_size)
         self.listener.await_request(self)
--- a/orchidgap/net/body_arrival.py
+++ b/orchidgap/net/body_arrival.py
@@ -30,11 +30,6 @@
         self.source = upload.source
         self.incomplete_at_us = begun_at_us
 
-    @property
-    def received_bytes(self) -> int:
-        """How many bytes of the body were read."""
-        return self.upload.received_bytes
-
     def observe(self, now_us: int) -> None:
         """Note whether the body is known to be incomplete now."""
         self.incomplete_at_us = max(self.incomplete_at_us, self.source.drained_at_us)
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -168,7 +168,9 @@
             self.deadline_timer = self.node.loop.call_later(ARRIVAL_CHECK_US, self.check_arrival)
             return
         self.deadline_us = now_us
-        self.node.event_log("slow upload", req=self.number, received=self.arrival.received_bytes)
+        self.node.event_log(
+            "slow upload", req=self.number, received=self.arrival.upload.received_bytes
+        )
         self.node.call_decisions(self.node.balancer.on_client_disconnect, self.number)
         self.answer(SERVICE_UNAVAILABLE)
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -284,9 +284,9 @@
     ) -> None:
         """Store the list for a successor process, and apply it to the connection pools."""
         for entry in entries:
-            known = self.endpoints.get(entry[0])
-            if known and entry[2] > known[0][2]:
-                self.pools.drop_process(entry[0])
+            known = self.endpoints.get(entry.host)
+            if known and entry.started_at_us > known[0].started_at_us:
+                self.pools.drop_process(entry.host)
         self.pools.apply_endpoints(whole, endpoints)
         if whole:
             self.endpoints.clear()
