--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,105 +1,132 @@
-"""Case 6: a cache host's second answer reaches the client of another request."""
+"""Case 6: many commands at once take the balancer over its memory limit."""
 
 from __future__ import annotations
 
 import asyncio
 import random
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import rig2
+import slots2
 
-SECONDS = 20.0
-CLIENTS = 4
-SPOILT_RATIO = 0.05
-SECOND_ANSWER_MS = (2.0, 6.0)
+CLIENTS = 30
+ORDINARY = 40  # commands of each client before that, one after another
+COMMANDS = 1_000
+ONE_AT_A_TIME = 30  # commands of each client where nothing is sent at once
+VALUE_BYTES = 15_000
+MEMORY_MB = 128  # the page has 192 at most
+WRITE_S = (0.074, 0.130)
+READ_S = (0.032, 0.058)
+SERVERS = 3
 
 
-class Deployment:
-    """The stand-ins of the case, and what its clients saw."""
+class Client:
+    """One client, which writes signups and waits for the reply to each."""
 
-    def __init__(self, record: rig2.Record) -> None:
-        """Begin with nothing sent."""
+    def __init__(self, number: int, record: rig2.Record) -> None:
+        """Start with nothing sent."""
+        self.number = number
         self.record = record
-        self.rng = random.Random(1)
-        self.answers: dict[str, set[bytes]] = {}  # by request id: the bodies made for it
-        self.breaks: list[str] = []
-        self.second_answers = 0
-        self.tasks: set[asyncio.Task[None]] = set()
-
-    async def answer(
-        self, host: rig2.HttpHost, request: rig2.Request, writer: asyncio.StreamWriter
-    ) -> None:
-        """Answer a request after its work; some answers come a second time."""
-        await asyncio.sleep(self.rng.uniform(0.032, 0.058) / 3)
-        body = f"value of {request.target} made for {request.id} by {host.name}".encode()
-        self.answers.setdefault(request.id, set()).add(body)
-        writer.write(rig2.response(200, body, "Cache-Result: hit"))
-        if rig2.with_trouble() and host.kind != "origin" and self.rng.random() < SPOILT_RATIO:
-            task = asyncio.create_task(self.answer_again(request, body, writer))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-
-    async def answer_again(
-        self, request: rig2.Request, body: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        """Send the same answer once more, some milliseconds late."""
-        late_ms = self.rng.uniform(*SECOND_ANSWER_MS)
-        await asyncio.sleep(late_ms / 1000)
-        self.second_answers += 1
-        self.record("second answer", id=request.id, late_ms=f"{late_ms:.1f}")
-        writer.write(rig2.response(200, body, "Cache-Result: hit"))
-
-    async def client(self, number: int, port: int, end: float) -> None:
-        """Send reads one after another on one connection, and check what each is answered."""
-        reader, writer = await asyncio.open_connection(rig2.LOOPBACK, port)
-        count = 0
-        while time.monotonic() < end:
-            count += 1
-            request_id = f"{number:02x}{count:08x}"
-            target = f"/volunteer-view/{self.rng.randrange(400):08x}"
-            writer.write(
-                f"GET {target} HTTP/1.1\r\nHost: service.internal\r\nRequest-Id: {request_id}\r\n"
-                "Request-Class: volunteer-view\r\nTenant: sevanam\r\n"
-                "Request-Timeout: 1.500\r\n\r\n".encode()
-            )
-            try:
-                status, fields, body = await asyncio.wait_for(rig2.read_response(reader), 3)
-            except (asyncio.IncompleteReadError, ConnectionError):
-                reader, writer = await asyncio.open_connection(rig2.LOOPBACK, port)
-                continue
-            made = self.answers.get(request_id, set())
-            self.record("answer", id=request_id, target=target, status=status, body=body)
-            if status == 200 and body not in made:
-                self.breaks.append(f"{request_id} asked {target} and was answered {body!r}")
-            if fields.get("connection", "").lower() == "close":
-                reader, writer = await asyncio.open_connection(rig2.LOOPBACK, port)
-            await asyncio.sleep(self.rng.uniform(0.0, 0.004))
+        self.sent = 0
+        self.replies: list[bytes] = []
+
+    def command(self) -> bytes:
+        """Return one signup for this client's event."""
+        return slots2.command(b"RPUSH", b"event-%d" % self.number, b"v" * VALUE_BYTES)
+
+    async def play(self, port: int, at_once: bool) -> None:
+        """Send the commands and read the replies; all at once, or one after another."""
+        reader, writer = await asyncio.open_connection(rig2.LOOPBACK, port, limit=1 << 20)
+        with suppress(OSError, asyncio.IncompleteReadError):
+            for index in range(ORDINARY):
+                writer.write(slots2.command(b"GET", b"volunteer-%d-%d" % (self.number, index)))
+                self.sent += 1
+                self.replies.append(await slots2.read_reply(reader))
+            if at_once:
+                sending = asyncio.create_task(self.send_all(writer))
+                for _ in range(COMMANDS):
+                    self.replies.append(await slots2.read_reply(reader))
+                await sending
+            else:
+                for _ in range(ONE_AT_A_TIME):
+                    writer.write(self.command())
+                    self.sent += 1
+                    self.replies.append(await slots2.read_reply(reader))
+        writer.close()
+        self.record("client", number=self.number, sent=self.sent, answered=len(self.replies))
+
+    async def send_all(self, writer: asyncio.StreamWriter) -> None:
+        """Send all commands without waiting for replies."""
+        with suppress(OSError):
+            for _ in range(COMMANDS):
+                if writer.is_closing():
+                    return
+                writer.write(self.command())
+                await writer.drain()
+                self.sent += 1
+
+
+async def watch_memory(balancer: rig2.Balancer, record: rig2.Record, breaks: list[str]) -> None:
+    """Do what the platform does: kill the balancer when it is over its limit."""
+    limit_kb = balancer.config["limits"]["memory_mb"] * 1024
+    shown = time.monotonic()
+    while balancer.is_alive():
+        used_kb = balancer.status_kb("VmRSS")
+        if time.monotonic() - shown > 0.1:
+            shown = time.monotonic()
+            record("memory", mb=used_kb // 1024)
+        if used_kb > limit_kb:
+            breaks.append(f"over {limit_kb // 1024} MB: the platform kills it at {used_kb} KB")
+            record("killed by the platform", mb=used_kb // 1024)
+            balancer.stop()
+        await asyncio.sleep(0.005)
+
+
+async def serve(server: slots2.SlotServer, words: list[bytes]) -> bytes:
+    """Run one command."""
+    is_write = words[0].upper() == b"RPUSH"
+    await asyncio.sleep(random.uniform(*(WRITE_S if is_write else READ_S)))
+    return b":1\r\n" if is_write else b"$-1\r\n"
 
 
 async def play(record: rig2.Record, folder: Path) -> list[str]:
     """Play the case."""
-    deployment = Deployment(record)
     discovery = rig2.Discovery(record)
-    hosts = [rig2.HttpHost(f"s-{n}", "full-node", deployment.answer) for n in range(3)]
-    hosts.append(rig2.HttpHost("s-origin", "origin", deployment.answer))
-    for host in hosts:
-        await host.start()
-        discovery.put(host.entry())
+    servers = [slots2.SlotServer(f"slots-{n}", serve) for n in range(SERVERS)]
+    slots2.share_slots(servers)
+    for server in servers:
+        await server.start()
+        discovery.put(server.entry())
     await discovery.start()
-    config = rig2.balancer_config(discovery, rig2.kochi_settings())
+    config = rig2.balancer_config(discovery, slots2.resp_settings())
+    config["limits"]["memory_mb"] = MEMORY_MB
+    config["resp"] = slots2.resp_part(servers)
     balancer = rig2.Balancer(folder, config, record)
     balancer.start()
+    breaks: list[str] = []
+    clients = [Client(number, record) for number in range(CLIENTS)]
     try:
-        await rig2.wait_ready(balancer)
-        end = time.monotonic() + SECONDS
-        await asyncio.gather(*(deployment.client(n, balancer.port, end) for n in range(CLIENTS)))
+        await slots2.wait_serving(balancer)
+        watching = asyncio.create_task(watch_memory(balancer, record, breaks))
+        plays = [client.play(balancer.port, rig2.with_trouble()) for client in clients]
+        await asyncio.wait_for(asyncio.gather(*plays), 60)
+        record("memory at most", kb=balancer.status_kb("VmHWM"))
+        watching.cancel()
     finally:
         balancer.stop()
-    record("second answers", count=deployment.second_answers, requests=len(deployment.answers))
-    if len(deployment.answers) < 100:
-        raise rig2.CouldNotRunError("hardly a request was served")
-    return deployment.breaks
+    unanswered = sum(client.sent - len(client.replies) for client in clients)
+    if unanswered:
+        breaks.append(f"{unanswered} commands that were written whole have no answer")
+    kinds: dict[bytes, int] = {}
+    for client in clients:
+        for reply in client.replies:
+            kinds[reply[:12]] = kinds.get(reply[:12], 0) + 1
+    record("replies", kinds=kinds)
+    if not sum(len(client.replies) for client in clients) and not breaks:
+        raise rig2.CouldNotRunError("nothing was answered")
+    return breaks
 
 
 if __name__ == "__main__":
