Bodies that wait in the client's kernel are answered in their time

Cause: each read that left nothing unread counted as proof that the client had not written its last byte, so the time began anew. While the client's receive window is closed, the rest waits in its own kernel.

`slow upload` tells more now, and `upload held back` is new.

Fix: before each read the kernel is asked whether the client can send.

--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -47,6 +47,16 @@
         """
 
 
+class ReadObserver(Protocol):
+    """Looks at a connection before and after it is read."""
+
+    def before_read(self) -> None:
+        """Called before bytes that have arrived are read."""
+
+    def after_read(self, is_drained: bool) -> None:
+        """Called after reading; `is_drained` is whether all bytes that had arrived were read."""
+
+
 class Connection:
     """One connection. Its owner receives its events and closes it."""
 
@@ -58,21 +68,19 @@
         "connecting",
         "deferrable",
         "discarded_bytes",
-        "drained_at_us",
         "idle_timer",
         "last_progress_us",
-        "left_unread",
         "loop",
         "mask",
         "max_read_bytes",
         "on_drained",
         "owner",
+        "read_observer",
         "read_paused",
         "received_at_us",
         "sock",
         "timestamps_enabled",
         "urgent",
-        "was_behind",
         "write_buffer",
     )
 
@@ -118,9 +126,7 @@
         self.urgent = urgent
         self.deferrable = deferrable
         self.received_at_us = 0  # when the bytes read last arrived, as far as that is known
-        self.drained_at_us = 0  # when all bytes that had arrived were last read
-        self.left_unread = False  # bytes may be left by the last look at the socket
-        self.was_behind = False  # the same, for the look before the current one
+        self.read_observer: ReadObserver | None = None
         sock.setblocking(False)
         if sock.family == socket.AF_INET:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -160,8 +166,14 @@
 
     def read_some(self) -> None:
         """Read as much as the loop's buffer holds; less if handling it takes long."""
-        self.was_behind = self.left_unread
-        self.left_unread = True
+        if self.read_observer:
+            self.read_observer.before_read()
+        is_drained = self.read_until_drained()
+        if self.read_observer:
+            self.read_observer.after_read(is_drained)
+
+    def read_until_drained(self) -> bool:
+        """Read within the bounds of one turn; return whether nothing was left unread."""
         bytes_left = READ_BUFFER_BYTES
         begun_us = 0
         while bytes_left > 0:
@@ -169,15 +181,14 @@
             count = self.read()
             bytes_left -= count
             if count < size:
-                self.left_unread = False
-                self.drained_at_us = self.loop.now
-                return
+                return True
             if self.at_message_end or self.closing or self.read_paused or not self.is_open:
-                return
+                return False
             now_us = self.loop.clock()
             begun_us = begun_us or now_us
             if now_us - begun_us >= MAX_READING_US:
-                return
+                return False
+        return False
 
     def read(self) -> int:
         """Read once and pass the bytes to the owner, or discard them while closing.
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -24,6 +24,7 @@
 # protocol's server bounds the time by the progress of the upload.
 UPLOAD_TIME_US = 3_600_000_000
 ARRIVAL_CHECK_US = 50_000  # how often a body that is still arriving is looked at
+US_PER_MS = 1_000
 SERVICE_UNAVAILABLE = 503  # the answer after which a retry is harmless
 
 
@@ -144,11 +145,23 @@
         """
         last_byte_at_us = self.client.received_at_us
         if self.arrival:
-            last_byte_at_us = self.arrival.last_byte_at_us(last_byte_at_us)
+            last_byte_at_us = self.end_arrival(self.arrival, last_byte_at_us)
         self.deadline_us = last_byte_at_us + self.time_for_answer_us
         if not self.closed:
             self.deadline_timer = self.node.loop.call_at(self.deadline_us, self.on_deadline)
 
+    def end_arrival(self, arrival: BodyArrival, received_at_us: int) -> int:
+        """Return when the body's last byte was written, which arrived at `received_at_us`."""
+        arrival.stop()
+        last_byte_at_us = arrival.last_byte_at_us(received_at_us)
+        if last_byte_at_us < received_at_us:
+            self.node.event_log(
+                "upload held back",
+                req=self.number,
+                ms=(received_at_us - last_byte_at_us) // US_PER_MS,
+            )
+        return last_byte_at_us
+
     @property
     def time_for_answer_us(self) -> int:
         """The time from the request's last byte to its answer."""
@@ -163,13 +176,17 @@
         if self.closed or self.arrival is None:
             return
         now_us = self.node.loop.now
-        self.arrival.observe(now_us)
+        self.arrival.observe()
         if now_us - self.arrival.incomplete_at_us < self.time_for_answer_us:
             self.deadline_timer = self.node.loop.call_later(ARRIVAL_CHECK_US, self.check_arrival)
             return
         self.deadline_us = now_us
         self.node.event_log(
-            "slow upload", req=self.number, received=self.arrival.upload.received_bytes
+            "slow upload",
+            req=self.number,
+            received=self.arrival.upload.received_bytes,
+            held_back=self.arrival.is_held_back,
+            incomplete_ms=(self.arrival.incomplete_at_us - self.arrival.begun_at_us) // US_PER_MS,
         )
         self.node.call_decisions(self.node.balancer.on_client_disconnect, self.number)
         self.answer(SERVICE_UNAVAILABLE)
@@ -240,6 +257,8 @@
         cancelling, so without the timer they might never settle.
         """
         self.closed = True
+        if self.arrival:
+            self.arrival.stop()
         for attempt in self.attempts:
             upload = attempt.upload
             if upload and not (
@@ -369,6 +388,8 @@
         if not self.closed:
             self.node.traffic_counts.on_request_end(RequestEnd.MIGRATED)
         self.closed = True
+        if self.arrival:
+            self.arrival.stop()
         self.streaming_attempt = None
         if self.deadline_timer:
             self.deadline_timer.cancel()
--- a/orchidgap/net/socket_state.py
+++ b/orchidgap/net/socket_state.py
@@ -11,6 +11,12 @@
 SO_MEMINFO = 55
 MEMINFO = struct.Struct("II")  # memory of received bytes, and the most that it may be
 BYTE_COUNT = struct.Struct("i")
+# `struct tcp_info` up to `tcpi_rcv_wnd`, of which these fields are read: `tcpi_rcv_ssthresh`,
+# `tcpi_advmss` and, since Linux 6.2, `tcpi_rcv_wnd`.
+TCP_INFO_BYTES = 236
+WINDOW_LIMIT = struct.Struct("64xI")
+SEGMENT_SIZE = struct.Struct("84xI")
+OFFERED_WINDOW = struct.Struct("232xI")
 
 
 def peer_has_closed(sock: socket.socket) -> bool:
@@ -64,3 +70,26 @@
         return 0
     count: int = BYTE_COUNT.unpack(packed)[0]
     return count
+
+
+def is_peer_blocked(sock: socket.socket, unread_bytes: int) -> bool:
+    """Whether the peer's kernel may be unable to send, as the receive window is nearly used up.
+
+    The window that the kernel tells is that of its last acknowledgement, which may be older than
+    all `unread_bytes`. A peer waits until a whole segment fits, or half of the largest window that
+    it was offered. What the kernel does not tell counts as blocked.
+    """
+    if sock.family == socket.AF_UNIX:
+        return False  # all that was written has arrived
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+        [limit_bytes] = WINDOW_LIMIT.unpack_from(info)
+        [segment_bytes] = SEGMENT_SIZE.unpack_from(info)
+        offered_bytes = limit_bytes
+        if len(info) >= OFFERED_WINDOW.size:
+            [offered_bytes] = OFFERED_WINDOW.unpack_from(info)
+    except (OSError, struct.error):
+        return True
+    needed_bytes = min(segment_bytes, max(limit_bytes, offered_bytes) // 2)
+    is_blocked: bool = offered_bytes - unread_bytes < needed_bytes
+    return is_blocked
--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -68,11 +68,13 @@
         slow_work_s: The same for a request whose path ends in "slow".
         answer: Called with a connected socket; writes the answer.
         read_bytes_per_s: How fast bodies are read; 0 for as fast as possible.
+        receive_buffer_bytes: The receive buffer of a host that reads slowly; 0 for the system's.
     """
 
     def __init__(self):
         self.executions, self.work_s, self.read_bytes_per_s = [], 0.002, 0
         self.slow_work_s = 5.0
+        self.receive_buffer_bytes = 1 << 16
         self.answer = lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
         self.listener = socket.create_server((ADDRESS, 0), backlog=512)
         self.port = self.listener.getsockname()[1]
@@ -82,8 +84,8 @@
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = self.listener.accept()
-                if self.read_bytes_per_s:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+                if self.read_bytes_per_s and self.receive_buffer_bytes:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
                 threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
 
     def _serve(self, sock):
