The time of a body that is read slowly goes on across an upgrade

Callers saw: a body whose host reads slowly was answered a whole timeout after the handover, however long it had been written.

Cause: the new process began to count at the handover, as the message has the whole timeout.

Fix: the message's `left` is what is left of the timeout since the body is known to have been incomplete. Its form stays, and versions before read it the same way.

Measured: the two new tests failed before (no answer 0.5 s after the handover) and pass now, with all tests of the handover and of compatibility.

--- a/orchidgap/http1/migration_messages.py
+++ b/orchidgap/http1/migration_messages.py
@@ -71,7 +71,8 @@
 
     Attributes:
         request_id: id of the request.
-        timeout_us: how long the client waits, counted from the request's last byte.
+        timeout_us: how long the client waits, counted from the request's last byte; less what has
+            passed since the body is known to have been incomplete.
         body_size: bytes of the body that have arrived.
         content_length: bytes of the whole body, None where this is unknown.
         chunked: the body is sent to the host in chunks.
--- a/orchidgap/http1/request_migration.py
+++ b/orchidgap/http1/request_migration.py
@@ -124,7 +124,7 @@
         return None
     content = StreamingUpload(
         exchange.request_id,
-        exchange.timeout_us,
+        exchange.upload_timeout_us(),
         request.body_size,
         request.content_length,
         connection.chunked,
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -191,6 +191,14 @@
         self.node.call_decisions(self.node.balancer.on_client_disconnect, self.number)
         self.answer(SERVICE_UNAVAILABLE)
 
+    def upload_timeout_us(self) -> int:
+        """The client's timeout, less what may have passed of it while its body is still read."""
+        if self.arrival is None:
+            return self.timeout_us
+        self.arrival.observe()
+        passed_us = self.node.loop.now - self.arrival.incomplete_at_us
+        return max(1, self.timeout_us - passed_us)
+
     def remaining_us(self, now_us: int) -> int:
         """The time from `now_us` to the deadline."""
         return max(0, self.deadline_us - now_us)
--- a/tests/net/test_request_migration.py
+++ b/tests/net/test_request_migration.py
@@ -6,8 +6,10 @@
 import pytest
 from handover_harness import ProcessPair
 from node_harness import received_text
+from streaming_scenarios import send_some, shrink_send_buffers
 
 BODY = bytes(range(256)) * 1_200
+HELD_BODY = BODY[:200_000]  # fits into the buffers before a host that reads nothing
 
 
 def hand_over_all(pair):
@@ -226,3 +228,32 @@
     assert received_text(client).startswith(f"HTTP/1.1 {status}")
     assert not pair.new.node.exchanges and not pair.new.node.open_request_ids
     pair.end()
+
+
+@pytest.mark.parametrize(
+    "framing", [f"Content-Length: {len(HELD_BODY)}", "Transfer-Encoding: chunked"]
+)
+def test_the_time_of_a_body_that_is_read_slowly_goes_on_in_the_new_process(framing):
+    """It began anew there: the answer came a whole timeout after the handover."""
+    pair = ProcessPair(1)
+    is_chunked = "chunked" in framing
+    client = pair.old.client(
+        f"PUT /mark/k1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout: 1\r\n{framing}\r\n\r\n".encode()
+    )
+    text = b"%x\r\n%b\r\n0\r\n\r\n" % (len(HELD_BODY), HELD_BODY) if is_chunked else HELD_BODY
+    pair.old.send_and_turn(client, text[:70_000])
+    pair.old.host_socket()
+    for pool in pair.old.node.pools.by_host.values():
+        shrink_send_buffers(*(connection.conn.sock for connection in pool.connections))
+    rest = text[70_000:]
+    while rest:
+        rest = send_some(pair.old, client, rest)
+        pair.turn(1)
+    pair.advance(600_000)
+    assert received_text(client) is None
+    hand_over_all(pair)
+    assert pair.new.node.is_request_open(b"r1")
+    pair.advance(500_000)
+    assert received_text(client).startswith("HTTP/1.1 50")
+    assert not pair.new.node.exchanges
+    pair.end()
