Finished requests and replies give their bytes back at once

Cause: a joined reply and its parts, a request and its attempts, and a reply and its request after the client had left referred to each other, with their bytes, until the cycle collector ran, which counts objects and not bytes.

Fix: what is finished drops what it refers to, and answers are dropped as they are written or joined.

--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -279,6 +279,20 @@
             self.node.open_request_ids.discard(self.request_id)
             self.node.release_if_done(self)
 
+    def release(self) -> None:
+        """Stop the deadline timer, and drop the attempts and all bytes, which are not used again.
+
+        Attempts and a streamed body refer to the exchange too, so that without this the bytes would
+        stay until the cycle collector runs.
+        """
+        if self.deadline_timer:
+            self.deadline_timer.cancel()
+        if self.upload:
+            self.upload.on_discarded = None
+        self.attempts = []
+        self.head = b""
+        self.body = b""
+
     def start_streaming(self, number: int) -> ResponseSink | None:
         """Make this attempt's answer the final one, and stream its body.
 
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -329,8 +329,7 @@
             if not attempt.settled:
                 return
         self.exchanges.pop(exchange.number, None)
-        if exchange.deadline_timer:
-            exchange.deadline_timer.cancel()
+        exchange.release()
 
     def call_decisions(
         self, call: Callable[..., None], *args: Any, exchange: Exchange | None = None
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -109,14 +109,23 @@
             body = to_resp3(body)
         self.set_encoded(body)
 
+    def take_encoded(self) -> bytes:
+        """Returns the encoded answer, which is kept no longer; empty if there is none."""
+        encoded = self.encoded or b""
+        self.encoded = b""
+        return encoded
+
     def unforwarded(self) -> list[Reply]:
         """Returns the replies of commands, or of parts of this one, that were not forwarded yet."""
         return [self] if self.forward else []
 
     def on_client_disconnect(self) -> None:
-        """Notifies the pending request that the client has closed its connection."""
-        if self.pending_request:
-            self.pending_request.on_client_disconnect()
+        """Drops a command that was not forwarded; notifies the pending request of one that was."""
+        pending = self.pending_request
+        self.pending_request = None  # it refers to this reply, as does `forward`
+        self.forward = None
+        if pending:
+            pending.on_client_disconnect()
 
     def has_disconnected(self) -> bool:
         """Returns whether the client has closed its connection."""
@@ -168,22 +177,27 @@
 
     def join_parts(self) -> None:
         """Combines the answers once all parts are answered."""
-        if any(part.encoded is None for part in self.parts):
+        if not self.parts or any(part.encoded is None for part in self.parts):
             return
-        failure = self.encode_failure()
-        if failure:
-            self.set_encoded(failure)
-            return
-        answers = [part.encoded or b"" for part in self.parts]
+        encoded = self.encode_failure() or self.encode_joined()
+        self.release_parts()
+        self.set_encoded(encoded)
+
+    def encode_joined(self) -> bytes:
+        """Returns the joined answers of the parts, none of which has failed."""
+        answers = [part.take_encoded() for part in self.parts]
         if self.join == "sum":
-            counts = (parse_integer(answer[1:-2]) or 0 for answer in answers)
-            self.set_encoded(encode_integer(sum(counts)))
-            return
+            return encode_integer(sum(parse_integer(answer[1:-2]) or 0 for answer in answers))
         items: list[bytes] = [b""] * sum(map(len, self.positions))
         for answer, positions in zip(answers, self.positions):
             for position, item in zip(positions, split_array(answer)):
                 items[position] = item
-        self.set_encoded(encode_array(items))
+        return encode_array(items)
+
+    def release_parts(self) -> None:
+        """Drops the parts: they and this reply refer to each other and hold their answers."""
+        self.parts = []
+        self.positions = []
 
     def encode_failure(self) -> bytes:
         """Returns the error that is true of all parts; empty if none has failed."""
@@ -206,7 +220,9 @@
 
     def on_client_disconnect(self) -> None:
         """Notifies the pending requests of all parts that the client has closed."""
-        for part in self.parts:
+        parts = self.parts
+        self.release_parts()
+        for part in parts:
             part.on_client_disconnect()
 
 
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -160,7 +160,7 @@
         """Writes the encoded replies up to the first unanswered command."""
         ready = []
         while self.replies and self.replies[0].encoded is not None:
-            encoded = self.replies.popleft().encoded or b""
+            encoded = self.replies.popleft().take_encoded()
             ready.append(encoded)
             difference = len(encoded) - self.smoothed_reply_bytes
             self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
--- a/tests/resp/test_stalled_commands.py
+++ b/tests/resp/test_stalled_commands.py
@@ -245,18 +245,20 @@
 def test_a_command_that_is_cancelled_while_its_connection_is_opened_is_not_sent():
     # Guards against writing an abandoned command once the connection is established.
     scenario, _, exchange = connecting_attempt()
-    exchange.cancel_attempt(exchange.attempts[0])
+    [attempt] = exchange.attempts
+    exchange.cancel_attempt(attempt)
     scenario.net.turn()
     assert scenario.sent_commands() == []
-    assert exchange.attempts[0].settled
+    assert attempt.settled
 
 
 def test_a_command_is_settled_if_its_connection_cannot_be_established():
     # Guards against leaving the command unsettled until its client times out.
     scenario, connection, exchange = connecting_attempt()
+    [attempt] = exchange.attempts
     connection.on_closed("refused")
     scenario.net.loop.run_once(0)
-    assert exchange.attempts[0].settled
+    assert attempt.settled
 
 
 def test_a_connection_that_a_command_waits_for_is_not_closed_as_idle():
