After an upgrade the older process's list does not replace discovery's

Discovery's client holds the newer version, so the drains were not told again. Over RESP the list went past the slot discovery to the node, and states that had been reported before were not reported again.

Fix: the source of the list decides; an older process's list is used only until discovery has told a whole one.

Four of the new tests failed before (one over HTTP/1.1, three over RESP), and pass now.

--- a/orchidgap/http1/discovery.py
+++ b/orchidgap/http1/discovery.py
@@ -54,6 +54,7 @@
             endpoints.
         log: writes an event with its fields.
         dialer: opens connections.
+        has_list: whether a whole list has arrived since the start.
         list_version: version of the current list, None until the whole list was fetched.
         failures: number of consecutive failed calls.
         polled_at_us: when the last call began.
@@ -77,6 +78,7 @@
         self.on_list = on_list
         self.log = log
         self.dialer = dial
+        self.has_list = False
         self.list_version: int | None = None
         self.failures = 0
         self.polled_at_us = 0
@@ -120,6 +122,13 @@
         self.set_timer(self.wait_ms * 1000 + grace_us, self.on_closed, NO_RESPONSE)
         self.conn.send(f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
+    def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
+        """Uses the list of an older process until a whole list has arrived; returns whether."""
+        if self.has_list:
+            return False
+        self.on_list(True, entries, endpoints)
+        return True
+
     def set_address(self, address: Address) -> None:
         """Calls another agent from now on.
 
@@ -167,6 +176,9 @@
         self.list_version = None if versions_restarted else version
         if not message.keep_alive:
             self.close_connection()
+        if is_whole:
+            self.has_list = True
+            self.log("list received", version=version, hosts=len(entries))
         if is_whole or entries:
             self.on_list(is_whole, entries, endpoints)
         watched_us = self.loop.now - self.polled_at_us
--- a/orchidgap/net/handover/ports.py
+++ b/orchidgap/net/handover/ports.py
@@ -84,8 +84,8 @@
     def descriptors_needed(self) -> int:
         """How many descriptors the node uses or needs immediately."""
 
-    def on_list(self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
-        """Apply the host list, or changes to it."""
+    def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
+        """Use the host list of another process, unless it may be outdated; return whether."""
 
     def check_ready(self) -> None:
         """Begin to serve, unless something is still awaited."""
--- a/orchidgap/net/handover/predecessor.py
+++ b/orchidgap/net/handover/predecessor.py
@@ -89,11 +89,13 @@
     def restore_snapshot(self, tenants: Any) -> None:
         """Restore the complete snapshot.
 
-        Its host list is newer than the one that this process was started with.
+        Its host list is newer than the one that this process was started with, but may be older
+        than one that discovery has told this process since.
         """
+        uses_list = False
         if self.endpoints:
             entries, endpoints = zip(*self.endpoints.values())
-            self.node.on_list(True, list(entries), list(endpoints))
+            uses_list = self.node.restore_list(list(entries), list(endpoints))
         restored = 0
         if self.node.has_warm_state:
             self.node.balancer.now = self.loop.now
@@ -101,7 +103,7 @@
             restored = warm_snapshot.restore_snapshot(self.node.balancer, snapshot)
         self.endpoints = {}
         self.host_snapshots = {}
-        self.node.event_log("snapshot restored", hosts=restored)
+        self.node.event_log("snapshot restored", hosts=restored, uses_list=uses_list)
         self.owner.end_snapshot_wait()
 
     def on_end(self, why: str) -> None:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -356,6 +356,10 @@
         may_retry = may_client_retry(request.request_class, request.repeat_safety)
         return 503 if may_retry else 500
 
+    def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
+        """Use the host list of another process, unless it may be outdated; return whether."""
+        return self.discovery.restore_list(entries, endpoints)
+
     @property
     def has_warm_state(self) -> bool:
         """Whether the decisions of this node can export and restore a snapshot."""
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -138,6 +138,21 @@
         self.report_servers()
         self.refresh_map()
 
+    def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
+        """Uses the servers of an older process until a whole list has arrived; returns whether.
+
+        Their ids are addresses. Servers that are ready there may be unknown to discovery, whose
+        list does not take them away then.
+        """
+        if self.discovery and self.discovery.has_list:
+            return False
+        for name, state, address in endpoints:
+            self.servers.setdefault(name, address)
+            if state != READY or address in self.states:
+                self.states[address] = state
+        self.report_servers()
+        return True
+
     def set_address(self, address: Address) -> None:
         """Switches to another discovery address."""
         if self.discovery:
--- a/tests/handover_harness.py
+++ b/tests/handover_harness.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import orjson
 from node_harness import NodeHarness
 
 from orchidgap.net.handover.coordinator import Handover
@@ -39,6 +40,16 @@
     )
 
 
+def send_snapshot(sock, endpoints):
+    """Sends the host list and the end of the snapshot, as the old process does.
+
+    `endpoints`: pairs of an `EndpointEntry` and an `Endpoint`.
+    """
+    rows = [[tuple(entry), tuple(endpoint)] for entry, endpoint in endpoints]
+    for message in (["room", 512], ["list", rows], ["estate", {}], ["all", {}]):
+        sock.send(orjson.dumps(message))
+
+
 class ProcessPair:
     """An old and a new process of one balancer on one clock, connected by a channel."""
 
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -7,7 +7,15 @@
 import sys
 
 import orjson
-from handover_harness import READINESS_REQUEST, ProcessPair, listener, single_process
+import pytest
+from handover_harness import (
+    READINESS_REQUEST,
+    ProcessPair,
+    listener,
+    send_snapshot,
+    single_process,
+)
+from net_scenarios import push_host_list
 from node_harness import NodeHarness, received_text
 
 from orchidgap.net.endpoints import decode_list
@@ -98,6 +106,47 @@
     assert net.node.handover.predecessor is None and net.node.descriptor_limit == 1024
 
 
+DRAINED = [NodeHarness.host_entry(0, "Terminating"), NodeHarness.host_entry(1)]
+READY = [NodeHarness.host_entry(0), NodeHarness.host_entry(1), NodeHarness.host_entry(2)]
+
+
+def endpoints_in(hosts):
+    _, _, entries, endpoints = decode_list({"seq": 1, "whole": True, "hosts": hosts})
+    return list(zip(entries, endpoints))
+
+
+@pytest.mark.parametrize("is_discovery_first", [True, False])
+def test_the_list_of_the_old_process_never_replaces_one_that_discovery_told(is_discovery_first):
+    """The old process, held up, sent a list without the latest drains, and that stayed for good."""
+    net, old_process, node_end = single_process(2, start=False)
+    net.node.handover.join_predecessor(node_end)
+    net.node.start()
+    if is_discovery_first:
+        push_host_list(net, 13, True, DRAINED)
+    send_snapshot(old_process, endpoints_in(READY))
+    net.turn()
+    if not is_discovery_first:
+        assert host_states(net) == {"c0": "up", "c1": "up", "c2": "up"}
+        push_host_list(net, 13, True, DRAINED)
+    assert net.node.is_ready() and host_states(net) == {"c0": "draining", "c1": "up"}
+    assert set(net.node.pools.by_host) == {"c0", "c1"}
+    push_host_list(net, 14, False, [NodeHarness.host_entry(2)])
+    assert host_states(net) == {"c0": "draining", "c1": "up", "c2": "up"}
+    old_process.close()
+
+
+def test_the_list_of_the_old_process_is_used_while_discovery_fails():
+    """It is newer than that of the configuration."""
+    net, old_process, node_end = single_process(3, start=False)
+    net.node.handover.join_predecessor(node_end)
+    net.node.start()
+    push_host_list(net, 13, True, [], status=500)
+    send_snapshot(old_process, endpoints_in(DRAINED))
+    net.turn()
+    assert net.node.is_ready() and host_states(net) == {"c0": "draining", "c1": "up"}
+    old_process.close()
+
+
 def test_idle_connections_are_handed_over_without_being_closed():
     """The old process shuts down. Its idle connections, from clients and to hosts, are handed over
     to the new one, and none is closed.
--- a/tests/resp/test_slot_discovery.py
+++ b/tests/resp/test_slot_discovery.py
@@ -1,9 +1,15 @@
 """Discovery's states of slot servers, combined with the servers' own slot map."""
 
+import socket
+
 import pytest
+from handover_harness import send_snapshot
 from loopback_harness import received_text
-from net_scenarios import push_host_list
-from test_stalled_commands import StalledCommandScenario
+from net_scenarios import discovery_socket, push_host_list
+from test_stalled_commands import FIRST_PORT, StalledCommandScenario
+
+from orchidgap.net.endpoints import Endpoint, EndpointEntry
+from orchidgap.net.handover.coordinator import Handover
 
 
 @pytest.mark.parametrize("health", ["Terminating", "Gone", "Odd"])
@@ -98,3 +104,53 @@
     scenario.send_command(1)
     scenario.net.turn()
     assert scenario.sent_commands()
+
+
+def receive_old_list(scenario, state):
+    """Have an old process send its list, in which the first server has this state."""
+    node, (old_process, node_end) = (
+        scenario.net.node,
+        socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET),
+    )
+    node.handover = Handover(scenario.net.loop, node, None, shared=True)
+    node.handover.join_predecessor(node_end)
+    rows = []
+    for number, server_state in enumerate((state, "up")):
+        name = f"127.0.0.1:{FIRST_PORT + number}"
+        entry = EndpointEntry(name, server_state, 0, "", "slots", name, 1.0)
+        rows.append((entry, Endpoint(name, server_state, ("127.0.0.1", FIRST_PORT + number))))
+    send_snapshot(old_process, rows)
+    scenario.net.turn()
+    scenario.net.open_sockets.append(old_process)
+    assert not node.handover.awaiting_snapshot
+
+
+@pytest.mark.parametrize(("listed", "old"), [("Terminating", "up"), ("Ready", "draining")])
+def test_the_list_of_an_old_process_never_replaces_one_that_discovery_told(listed, old):
+    # It stayed for good: the states that discovery had told were not reported again.
+    scenario = StalledCommandScenario(0, 2_000)
+    push_host_list(scenario.net, 42, False, [scenario.net.host_entry(0, listed)])
+    receive_old_list(scenario, old)
+    scenario.send_command(1)
+    scenario.net.turn()
+    assert bool(scenario.sent_commands()) == (listed == "Ready")
+
+
+def test_the_list_of_an_old_process_holds_until_discovery_tells_one():
+    # A list of ready servers was equal to that reported before the old process's, and was ignored.
+    scenario = StalledCommandScenario(0, 2_000)
+    discovery = scenario.net.node.discovery
+    discovery.discovery.has_list = False
+    discovery.states.clear()
+    receive_old_list(scenario, "draining")
+    discovery.servers["127.0.0.1:99"] = ("127.0.0.1", 99)  # as from a slot map
+    discovery.report_servers()
+    scenario.send_command(1)
+    scenario.net.turn()
+    assert scenario.sent_commands() == []
+    received_text(discovery_socket(scenario.net))
+    entries = [scenario.net.host_entry(0), scenario.net.host_entry(1)]
+    push_host_list(scenario.net, 43, True, entries)
+    scenario.send_command(2)
+    scenario.net.turn()
+    assert scenario.sent_commands()
