Connections to a host's older process are not taken over

Callers saw: after an upgrade requests could go to the older process of a host that had restarted at its address, where that still answers.

Cause: an old process that had not heard of the restart hands over its connections, idle ones and those of requests in progress, and the new process put them beside those to the newer process of the host.

Fix: where a later start is listed than the old process had told, they are closed, or end with their request.

--- a/orchidgap/http1/client.py
+++ b/orchidgap/http1/client.py
@@ -178,6 +178,10 @@
             if not pool.is_near_idle_timeout(connection) and not connection.conn.write_buffer
         ]
 
+    def host_of(self, tag: Any) -> str:
+        """Returns the id of the host in a connection's tag from `transferable`."""
+        return str(tag[0])
+
     def adopt_connection(self, tag: Any, sock: socket.socket) -> None:
         """Adopts an idle connection from another process, with its tag from `transferable`."""
         host, address, port, idle_since_us = tag
--- a/orchidgap/http1/request_migration.py
+++ b/orchidgap/http1/request_migration.py
@@ -311,12 +311,14 @@
 ) -> HostConnection:
     """Adds a host's connection to the pool of its host.
 
-    Where the host list does not contain that host, uses a new pool that is already retired.
+    Uses a new pool that is already retired where the host list does not contain that host, or a
+    newer process of it.
     """
     pools = node.pools
     assert isinstance(pools, HostConnectionPools)
     pool = pools.by_host.get(host)
-    if pool is None or pool.address != address:
+    is_older_process = node.handover.leads_to_older_process(host)
+    if pool is None or pool.address != address or is_older_process:
         pool = HostConnectionPool(pools, address)
         pool.retired = True
     connection = HostConnection(pool, sock, None)
--- a/orchidgap/net/connection_pools.py
+++ b/orchidgap/net/connection_pools.py
@@ -98,6 +98,10 @@
         """Return the idle connections that can be transferred to another process."""
         return []
 
+    def host_of(self, tag: Any) -> str:
+        """Return the id of the host that an idle connection from another process leads to."""
+        return ""
+
     def adopt_connection(self, tag: Any, sock: socket.socket) -> None:
         """Adopt an idle connection from another process; `tag` is its state."""
         sock.close()
--- a/orchidgap/net/handover/absent.py
+++ b/orchidgap/net/handover/absent.py
@@ -19,6 +19,10 @@
         """Whether a request with this id is open in another process: always false."""
         return False
 
+    def leads_to_older_process(self, host: str) -> bool:
+        """Whether a connection from another process leads to an older process of the host."""
+        return False
+
     def announce_serving(self) -> None:
         """Accept clients from now on."""
         self.clients.return_to_listener()
--- a/orchidgap/net/handover/coordinator.py
+++ b/orchidgap/net/handover/coordinator.py
@@ -92,6 +92,10 @@
                 why = f"{self.rendezvous.path}: {error.strerror}"
                 self.node.event_log("handover unavailable", why=why)
 
+    def leads_to_older_process(self, host: str) -> bool:
+        """Whether a predecessor's connection to a host may lead to an older process of that."""
+        return self.predecessor is not None and self.predecessor.knows_older_process(host)
+
     def accept_successor(self, sock: socket.socket) -> None:
         """Accept a connection from a newer process. An earlier successor counts as failed."""
         if self.successor:
--- a/orchidgap/net/handover/predecessor.py
+++ b/orchidgap/net/handover/predecessor.py
@@ -49,6 +49,8 @@
         self.loop = loop
         self.endpoints: dict[str, tuple[EndpointEntry, Endpoint]] = {}  # until the snapshot ends
         self.host_snapshots: dict[str, Any] = {}  # until the snapshot ends
+        # starts of the hosts' processes, by host id, that its connections to hosts lead to
+        self.started_at_us: dict[str, int] = {}
         super().__init__(loop, node, sock, owner)
 
     def on_message(self, message: Message, raw: bytes, fds: list[int]) -> None:
@@ -58,7 +60,7 @@
                 total = self.node.config.descriptors
                 self.node.set_descriptor_limit(max(MIN_DESCRIPTORS, min(int(descriptors), total)))
             case EndpointChunk():
-                self.endpoints.update(endpoints_of(message))
+                self.add_endpoints(endpoints_of(message))
             case HostSnapshots(hosts):
                 self.host_snapshots.update(hosts)
             case SnapshotEnd(tenants):
@@ -69,6 +71,23 @@
             case _:
                 self.accept_connections(message, raw, fds)
 
+    def add_endpoints(self, endpoints: dict[str, tuple[EndpointEntry, Endpoint]]) -> None:
+        """Add a part of its host list."""
+        self.endpoints.update(endpoints)
+        for host, (entry, _) in endpoints.items():
+            self.started_at_us[host] = entry.started_at_us
+
+    def knows_older_process(self, host: str) -> bool:
+        """Whether a newer process of the host is listed here than was in its host list.
+
+        The older one may still be ending at the same address, with connections that work.
+        """
+        listed = self.node.endpoints.get(host)
+        started_at_us = self.started_at_us.get(host)
+        if listed is None or started_at_us is None:
+            return False
+        return started_at_us < listed[0].started_at_us
+
     def accept_connections(self, message: Message, raw: bytes, fds: list[int]) -> None:
         """Adopt connections that are handed over.
 
@@ -79,8 +98,10 @@
                 for fd in fds:
                     self.node.clients.adopt_connection(duplicate(fd))
             case IdleConnections(tags):
+                pools = self.node.pools
                 for fd, tag in zip(fds, tags):
-                    self.node.pools.adopt_connection(tag, duplicate(fd))
+                    if not self.knows_older_process(pools.host_of(tag)):
+                        pools.adopt_connection(tag, duplicate(fd))
             case MigratedRequest(items):
                 self.node.accept_migrated(items, raw, [duplicate(fd) for fd in fds])
             case _:
--- a/tests/net/test_handover.py
+++ b/tests/net/test_handover.py
@@ -191,6 +191,24 @@
     pair.end()
 
 
+@pytest.mark.parametrize(("born", "is_adopted"), [(0, True), (5_000, False)])
+def test_connections_to_a_host_that_has_restarted_are_not_taken_over(born, is_adopted):
+    """The older process of the host, still ending at its address, got new requests on them."""
+    pair = ProcessPair(1)
+    pair.old.send_request("k")
+    [host_sock] = pair.old.host_sockets()
+    pair.old.answer_from_host(host_sock)
+    assert len(pair.old.node.pools.by_host["c0"].idle) == 1
+    hosts = [NodeHarness.host_entry(0, born=born), NodeHarness.host_entry(9)]
+    _, _, entries, endpoints = decode_list({"seq": 50, "whole": True, "hosts": hosts})
+    pair.new.node.on_list(True, entries, endpoints)
+    pair.old.node.begin_shutdown()
+    pair.advance(15_000)
+    assert not pair.old.node.pools.by_host["c0"].idle
+    assert len(pair.new.node.pools.by_host["c0"].idle) == is_adopted
+    pair.end()
+
+
 def test_attempts_and_request_ids_of_both_processes_count():
     """Both processes have requests at one host. Each counts the other's attempts at that host, and
     rejects request ids that are open in the other.
--- a/tests/net/test_request_migration.py
+++ b/tests/net/test_request_migration.py
@@ -8,6 +8,8 @@
 from node_harness import received_text
 from streaming_scenarios import send_some, shrink_send_buffers
 
+from orchidgap.net.endpoints import decode_list
+
 BODY = bytes(range(256)) * 1_200
 HELD_BODY = BODY[:200_000]  # fits into the buffers before a host that reads nothing
 
@@ -257,3 +259,29 @@
     assert received_text(client).startswith("HTTP/1.1 50")
     assert not pair.new.node.exchanges
     pair.end()
+
+
+@pytest.mark.parametrize(("born", "is_kept"), [(0, True), (5_000, False)])
+def test_a_connection_of_a_migrated_request_to_an_older_process_gets_nothing_more(born, is_kept):
+    """It rested among those of the newer process once the request was answered."""
+    pair = ProcessPair(1)
+    client = pair.old.client(
+        f"PUT /mark/k1 HTTP/1.1\r\nRequest-Id: r1\r\nRequest-Timeout: 1\r\nContent-Length: {len(BODY)}\r\n\r\n".encode()
+    )
+    pair.old.send_and_turn(client, BODY[:130_000])
+    host = pair.old.host_socket()
+    received_all(host)
+    hosts = [pair.new.host_entry(0), pair.new.host_entry(9, born=born)]
+    _, _, entries, endpoints = decode_list({"seq": 50, "whole": True, "hosts": hosts})
+    pair.new.node.on_list(True, entries, endpoints)
+    hand_over_all(pair)
+    assert pair.new.node.is_request_open(b"r1")
+    for offset in range(130_000, len(BODY), 26_000):
+        client.sendall(BODY[offset : offset + 26_000])
+        pair.turn()
+        received_all(host)
+    pair.old.answer_from_host(host)
+    pair.turn()
+    assert received_text(client).startswith("HTTP/1.1 200")
+    assert len(pair.new.node.pools.by_host["o"].idle) == is_kept
+    pair.end()
