RESP: commands that wait for their server keep their order

Callers saw: a client that writes 3,000 commands of 15 KB at once got replies up to 3.8 s after their write, of 2.5 s.

Cause: a command that had waited for an earlier one of its slot was put behind all that waited for its server by then, where it has no deadline of its own.

Evidence: a trial with the times of each command: late ones were read as early as others, and forwarded behind commands written 1.1 s later.

Fix: they are kept in the order of their connection.

--- a/orchidgap/resp/command_scheduler.py
+++ b/orchidgap/resp/command_scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
         loop: the event loop.
         slot_owner: returns the server that owns a slot, or an empty text if it is not known.
         is_closed: the client has disconnected, and nothing more is forwarded.
+        command_count: commands so far.
         in_flight_by_slot: replies of unanswered commands, by slot, in order; includes commands that
             are not forwarded yet.
         delayed_by_owner: replies of commands that are delayed while an earlier one waits for the
@@ -29,6 +31,7 @@
     """
 
     __slots__ = (
+        "command_count",
         "delayed_by_owner",
         "in_flight_by_slot",
         "is_closed",
@@ -45,6 +48,7 @@
         self.in_flight_by_slot: dict[int, list[Reply]] = {}
         self.delayed_by_owner: dict[str, deque[Reply]] = {}
         self.waiting_by_owner: dict[str, Reply] = {}
+        self.command_count = 0
 
     def close(self) -> None:
         """Forgets all commands, as the client has disconnected."""
@@ -55,6 +59,8 @@
 
     def add(self, reply: Reply) -> None:
         """Forwards a command as soon as earlier ones permit it; see `Reply.forward`."""
+        reply.position = self.command_count
+        self.command_count += 1
         in_flight = self.in_flight_by_slot.setdefault(reply.slot, [])
         in_flight.append(reply)
         self._forward_if_allowed(in_flight, reply)
@@ -92,7 +98,8 @@
         delayed = self.delayed_by_owner.get(owner)
         if delayed or self._has_waiting(owner):
             reply.is_delayed = True
-            self.delayed_by_owner.setdefault(owner, deque()).append(reply)
+            # one that waited for an earlier command of its slot is older than some that are delayed
+            insort(self.delayed_by_owner.setdefault(owner, deque()), reply, key=position_of)
             return
         forward = reply.forward
         reply.forward = None
@@ -128,3 +135,8 @@
         for reply in list(self.in_flight_by_slot.get(slot, ())):
             if reply in self.in_flight_by_slot.get(slot, ()):
                 self._forward_if_allowed(self.in_flight_by_slot[slot], reply)
+
+
+def position_of(reply: Reply) -> int:
+    """Returns the position of a command among those of its connection."""
+    return reply.position
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -52,6 +52,7 @@
         is_delayed: the command is delayed while an earlier one waits for the same server.
         unblocked_at_us: when earlier commands last stopped blocking this one.
         encoded: the encoded answer; None until the command is answered.
+        position: position of the command among those of its connection that need a host.
         slot: slot of the key; -1 if the command needs no host.
         is_write: whether the command modifies data.
         forward: forwards the command; None once it was forwarded.
@@ -67,6 +68,7 @@
         "is_write",
         "joined",
         "pending_request",
+        "position",
         "queue",
         "received_at_us",
         "slot",
@@ -82,6 +84,7 @@
         self.received_at_us = queue.received_at_us
         self.unblocked_at_us = queue.capacity_freed_at_us
         self.slot = -1
+        self.position = 0
         self.is_write = False
         self.is_delayed = False
         self.forward: Callable[[], None] | None = None
