RESP: the time of commands that wait to be read counts from their write

Callers saw: a client that writes 3,000 commands of 15 KB at once was answered up to 4.5 s after their write, four with 1,500 each up to 4.9 s, of 2.5 s.

Cause: reading pauses while a client has too many commands without a reply; those that waited in the kernels of both machines had their whole time from when they were read.

Fix: from the first pause on each look at the connection tells how far the client can have written by then, with what BodyArrival asks of the kernel, which is SendBacklog now. What is read beyond that was written later. A command whose time is over as it is read is denied without a look at its server.

--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -185,7 +185,7 @@
             "slow upload",
             req=self.number,
             received=self.arrival.upload.received_bytes,
-            held_back=self.arrival.is_held_back,
+            held_back=self.arrival.backlog.is_held_back,
             incomplete_ms=(self.arrival.incomplete_at_us - self.arrival.begun_at_us) // US_PER_MS,
         )
         self.node.call_decisions(self.node.balancer.on_client_disconnect, self.number)
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -16,6 +16,7 @@
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.loop import READ
+from orchidgap.resp.command_arrival import CommandArrival
 from orchidgap.resp.command_scheduler import CommandScheduler
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
 from orchidgap.resp.config import RespConfig
@@ -48,6 +49,8 @@
     """One connection from a client.
 
     Attributes:
+        arrival: tells when commands were written while reading from the client is behind; None if
+            it is not.
         config: the RESP configuration.
         session: user, client name and protocol version.
         reader: the parser of received bytes.
@@ -64,6 +67,7 @@
     """
 
     __slots__ = (
+        "arrival",
         "capacity_freed_at_us",
         "command_count",
         "config",
@@ -81,6 +85,7 @@
         self, listener: ClientListener, sock: socket.socket, config: RespConfig, number: int
     ) -> None:
         """Starts on an accepted socket; `number` identifies the connection."""
+        self.arrival: CommandArrival | None = None
         self.config = config
         self.session = Session(config, number)
         self.reader = RespReader()
@@ -148,8 +153,14 @@
 
     @property
     def received_at_us(self) -> int:
-        """When the last bytes arrived, by the loop's clock."""
-        return self.conn.received_at_us
+        """When the command that was read last was written, by the loop's clock.
+
+        That is when its bytes arrived, or earlier if it may have waited to be read.
+        """
+        received_at_us = self.conn.received_at_us
+        if self.arrival is None or not self.arrival.is_following:
+            return received_at_us
+        return min(received_at_us, self.arrival.earliest_write_us(self.reader.unread_bytes()))
 
     def on_reply(self, reply: Reply) -> None:
         """Writes the encoded replies up to the first unanswered command."""
@@ -201,11 +212,11 @@
                 return
             if len(self.conn.write_buffer) > MAX_QUEUED_BYTES:
                 # No event reports that the client reads again, so the buffer is polled.
-                self.conn.pause_reading(True)
+                self.pause_commands()
                 self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_write_buffer)
                 return
             if self.has_full_queue():
-                self.conn.pause_reading(True)
+                self.pause_commands()
                 return
             words = self.reader.read_command()
             if words is None:
@@ -214,10 +225,23 @@
                 self.listener.awaiting_request.pop(self, None)
                 self.requests_read += 1
                 self.handle_command(words)
-        self.conn.pause_reading(False)
+        self.resume_commands()
         if self.conn.is_open and not self.conn.closing:
             self.after_input()
 
+    def pause_commands(self) -> None:
+        """Stops reading commands, and follows what the client writes meanwhile."""
+        if self.arrival is None or not self.arrival.is_following:
+            self.arrival = CommandArrival(self.conn)
+        self.arrival.observe()
+        self.conn.pause_reading(True)
+
+    def resume_commands(self) -> None:
+        """Reads commands again."""
+        if self.conn.read_paused and self.arrival and self.arrival.is_following:
+            self.arrival.on_resumed()
+        self.conn.pause_reading(False)
+
     def has_full_queue(self) -> bool:
         """Returns whether the limits on outstanding replies are reached."""
         expected_bytes = len(self.replies) * self.smoothed_reply_bytes
@@ -357,7 +381,8 @@
         self, reply: Reply, command: Command, words: list[bytes], key: bytes, slot: int
     ) -> None:
         """Forwards a command for one slot as soon as earlier commands permit it."""
-        if self.is_ending:
+        is_overdue = self.listener.loop.now >= reply.received_at_us + self.config.timeout_us
+        if self.is_ending or is_overdue:
             self.deny(reply)
             return
         self.command_count += 1
--- a/tests/net/test_body_arrival_tcp.py
+++ b/tests/net/test_body_arrival_tcp.py
@@ -7,10 +7,11 @@
 import pytest
 
 from orchidgap.net import socket_state
-from orchidgap.net.body_arrival import SETTLE_US, BodyArrival
+from orchidgap.net.body_arrival import BodyArrival
 from orchidgap.net.body_stream import Upload
 from orchidgap.net.connection import Connection
 from orchidgap.net.loop import Loop
+from orchidgap.net.send_backlog import SETTLE_US
 
 READ_BYTES = 1 << 15
 TURN_US = 1_000
@@ -81,11 +82,11 @@
         receiver.write_all_that_fits()
     written_at_us = receiver.now_us
     receiver.arrival.observe()
-    assert receiver.arrival.is_held_back
+    assert receiver.arrival.backlog.is_held_back
     for _ in range(8):
         receiver.read()
         receiver.arrival.after_read(True)
-    assert receiver.arrival.is_held_back
+    assert receiver.arrival.backlog.is_held_back
     assert receiver.arrival.incomplete_at_us == written_at_us
     assert receiver.arrival.last_byte_at_us(receiver.now_us) == written_at_us
 
@@ -98,7 +99,7 @@
     for _ in range(SETTLE_US // TURN_US + 1):
         receiver.client.send(b"v" * 100)
         receiver.read()
-    assert not receiver.arrival.is_held_back
+    assert not receiver.arrival.backlog.is_held_back
     assert receiver.now_us - receiver.arrival.incomplete_at_us <= 2 * TURN_US
 
 
@@ -107,7 +108,7 @@
     for _ in range(300):
         receiver.client.send(b"v" * 10_000)
         receiver.read()
-        assert not receiver.arrival.is_held_back
+        assert not receiver.arrival.backlog.is_held_back
     assert receiver.now_us - receiver.arrival.incomplete_at_us <= 2 * TURN_US
 
 
--- a/tests/resp_process_harness.py
+++ b/tests/resp_process_harness.py
@@ -20,11 +20,12 @@
 
     Attributes:
         value: The value of every key.
-        work_s: Time from a command to its reply.
+        work_s: Time from a read to its reply.
+        serial_work_s: Time that each command takes, one after another on a connection.
     """
 
     def __init__(self, value=b"v", work_s=0.03):
-        self.value, self.work_s = value, work_s
+        self.value, self.work_s, self.serial_work_s = value, work_s, 0.0
         self.listener = socket.create_server((ADDRESS, 0), backlog=512)
         self.port = self.listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -45,7 +46,9 @@
                     replies.append(self._reply(words))
                 if any(reply.startswith((b"*", b"$")) for reply in replies):
                     time.sleep(self.work_s)
-                sock.sendall(b"".join(replies))
+                for reply in replies:
+                    time.sleep(self.serial_work_s)
+                    sock.sendall(reply)
 
     def _reply(self, words):
         name = words[0].upper()
