RESP: one client's commands do not keep the loop from others

Cause: all commands of one read were handled in one call, and a split command counted as one, so that many of them were accepted at once.

Fix: after 5 ms a client's commands go on in the next turn; the parts of split commands count.

--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -52,6 +52,7 @@
         is_delayed: the command is delayed while an earlier one waits for the same server.
         unblocked_at_us: when earlier commands last stopped blocking this one.
         encoded: the encoded answer; None until the command is answered.
+        part_count: number of commands that servers get for this one at the most.
         position: position of the command among those of its connection that need a host.
         slot: slot of the key; -1 if the command needs no host.
         is_write: whether the command modifies data.
@@ -67,6 +68,7 @@
         "is_delayed",
         "is_write",
         "joined",
+        "part_count",
         "pending_request",
         "position",
         "queue",
@@ -84,6 +86,7 @@
         self.received_at_us = queue.received_at_us
         self.unblocked_at_us = queue.capacity_freed_at_us
         self.slot = -1
+        self.part_count = 1
         self.position = 0
         self.is_write = False
         self.is_delayed = False
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -27,13 +27,16 @@
 from orchidgap.resp.session import Session
 from orchidgap.resp.writers import encode_bulk, encode_command, encode_error
 
-MAX_QUEUED_REPLIES = 1_024  # most commands of one connection whose replies are not written yet
+# Most commands of one connection, and parts of such, whose replies are not written yet; one more
+# command is accepted below that, however many parts it has.
+MAX_QUEUED_REPLIES = 1_024
 # Limit of one connection for its write buffer, and for the expected size of outstanding replies.
 MAX_QUEUED_BYTES = 1 << 20
 # Initial estimate of a reply's size: few commands are accepted until replies have been measured.
 FIRST_REPLY_BYTES = MAX_QUEUED_BYTES // 16
 REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
 WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether a client reads its replies again
+MAX_HANDLING_US = 5_000  # after which a client's received commands go on in the next turn
 MAX_SHOWN_BYTES = 60  # length limit of a command name in an error reply
 MAX_FINAL_READS = 16  # reads before a connection ends, so that a flood cannot prevent the end
 SERVICE_UNAVAILABLE = 503
@@ -62,6 +65,8 @@
         holds_replies: replies are not written for the moment.
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
             connection ends once the outstanding replies are written.
+        part_count: outstanding commands, counting each part of a split one.
+        goes_on_next_turn: received commands are left to be handled in the next turn of the loop.
         is_ending: commands that are read from now on are denied, and the connection ends as soon
             as no reply is outstanding.
     """
@@ -71,9 +76,11 @@
         "capacity_freed_at_us",
         "command_count",
         "config",
+        "goes_on_next_turn",
         "has_last_command",
         "holds_replies",
         "is_ending",
+        "part_count",
         "reader",
         "replies",
         "scheduler",
@@ -94,6 +101,8 @@
         self.capacity_freed_at_us = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
+        self.part_count = 0
+        self.goes_on_next_turn = False
         self.has_last_command = False
         self.holds_replies = False
         self.is_ending = False
@@ -171,7 +180,9 @@
         """Writes the encoded replies up to the first unanswered command."""
         ready = []
         while self.replies and self.replies[0].encoded is not None:
-            encoded = self.replies.popleft().take_encoded()
+            reply = self.replies.popleft()
+            self.part_count -= reply.part_count
+            encoded = reply.take_encoded()
             ready.append(encoded)
             difference = len(encoded) - self.smoothed_reply_bytes
             self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
@@ -205,7 +216,13 @@
         self.process_input()
 
     def process_input(self) -> None:
-        """Handles received commands until the limits on outstanding replies are reached."""
+        """Handles received commands until the limits on outstanding replies are reached.
+
+        Goes on in the next turn if that takes long, so that other connections are served.
+        """
+        if self.goes_on_next_turn:
+            return
+        handle_until_us = self.listener.loop.clock() + MAX_HANDLING_US
         while self.conn.is_open and not self.conn.closing:
             if self.has_last_command:
                 self.conn.pause_reading(True)
@@ -225,10 +242,24 @@
                 self.listener.awaiting_request.pop(self, None)
                 self.requests_read += 1
                 self.handle_command(words)
+            if self.listener.loop.clock() >= handle_until_us and self.reader.unread_bytes():
+                self.go_on_next_turn()
+                return
         self.resume_commands()
         if self.conn.is_open and not self.conn.closing:
             self.after_input()
 
+    def go_on_next_turn(self) -> None:
+        """Leaves the rest of the received commands to the next turn."""
+        self.goes_on_next_turn = True
+        self.conn.pause_reading(True)
+        self.listener.loop.call_next_turn(self.go_on)
+
+    def go_on(self) -> None:
+        """Handles commands that were left by the turn before."""
+        self.goes_on_next_turn = False
+        self.process_input()
+
     def pause_commands(self) -> None:
         """Stops reading commands, and follows what the client writes meanwhile."""
         if self.arrival is None or not self.arrival.is_following:
@@ -245,7 +276,7 @@
     def has_full_queue(self) -> bool:
         """Returns whether the limits on outstanding replies are reached."""
         expected_bytes = len(self.replies) * self.smoothed_reply_bytes
-        return len(self.replies) >= MAX_QUEUED_REPLIES or expected_bytes > MAX_QUEUED_BYTES
+        return self.part_count >= MAX_QUEUED_REPLIES or expected_bytes > MAX_QUEUED_BYTES
 
     def after_input(self) -> None:
         """Closes the connection, waits for the rest of a command, or marks the connection as idle.
@@ -277,8 +308,7 @@
         self.has_last_command = True
         self.requests_read += self.reader.unread_bytes() > 0  # it is answered, so it counts
         self.reader.discard()
-        reply = Reply(self)
-        self.replies.append(reply)
+        reply = self.add_reply()
         reply.set_encoded(encode_error(text))
         self.process_input()  # handles nothing more
 
@@ -288,7 +318,7 @@
         What has arrived by now is read and answered first, in one write right before the end: a
         client that writes a command for each reply would otherwise always have written one more.
         """
-        if self.replies or not self.conn.is_open or self.conn.closing:
+        if self.replies or self.goes_on_next_turn or not self.conn.is_open or self.conn.closing:
             return
         if self in self.listener.awaiting_request:  # its first command, or the rest of one, is due
             return
@@ -308,6 +338,8 @@
             if not self.conn.has_unread_bytes():
                 return read_up_to_us
             self.conn.on_ready(READ)
+            if self.goes_on_next_turn:
+                return 0
         return 0
 
     def has_input(self) -> bool:
@@ -322,8 +354,7 @@
     def handle_command(self, words: list[bytes]) -> None:
         """Answers a command locally, or forwards it."""
         name = words[0].upper()
-        reply = Reply(self)
-        self.replies.append(reply)
+        reply = self.add_reply()
         if self.session.user is None and name not in COMMANDS_BEFORE_LOGIN:
             reply.set_encoded(encode_error("NOAUTH Authentication required."))
             return
@@ -343,6 +374,13 @@
         else:
             self.forward_by_slots(reply, command, words)
 
+    def add_reply(self) -> Reply:
+        """Returns the reply to a command that was read, which is outstanding from now on."""
+        reply = Reply(self)
+        self.replies.append(reply)
+        self.part_count += 1
+        return reply
+
     def run_local(self, name: bytes, words: list[bytes]) -> bytes | None:
         """Returns the reply to a command that needs no host, or None for any other command."""
         if name == b"QUIT":
@@ -373,6 +411,8 @@
         self.replies[-1] = joined
         joined.positions = list(positions_by_slot.values())
         joined.parts = [Reply(self, joined) for _ in positions_by_slot]
+        joined.part_count = len(joined.parts)
+        self.part_count += joined.part_count - 1
         for part, (slot, positions) in zip(joined.parts, positions_by_slot.items()):
             part_words = [words[0], *(keys[position] for position in positions)]
             self.forward(part, command, part_words, part_words[1], slot)
--- a/tests/fault_tests/test_resp_backlog_times.py
+++ b/tests/fault_tests/test_resp_backlog_times.py
@@ -18,6 +18,7 @@
 from orchidgap.resp.writers import encode_command
 
 MEMORY_MB = 192
+LONGEST_TURN_S = 1.0  # less than the shortest timeout of the operators' classes
 
 
 class Pipeliner:
@@ -93,3 +94,39 @@
             if last == b"+OK\r\n":
                 break
         assert last == b"+OK\r\n"
+
+
+@pytest.mark.parametrize(
+    "words",
+    [[b"MGET", *(b"k%d" % number for number in range(3_000))], [b"GET", b"k"]],
+    ids=["split", "short"],
+)
+def test_a_client_without_end_does_not_keep_others_waiting(words):
+    """Its commands took turns of 1.3 to 5.7 s, and another client waited as long."""
+    text = encode_command(*words) * (2_000 if len(words) == 2 else 5)
+    end_s = time.monotonic() + 6
+    waited_s = []
+    with (
+        RespBalancerProcess(SlotServer(), MEMORY_MB) as balancer,
+        balancer.connect() as flooding,
+        balancer.connect() as other,
+    ):
+
+        def write():
+            with contextlib.suppress(OSError):
+                while time.monotonic() < end_s:
+                    flooding.sendall(text)
+
+        def read():
+            with contextlib.suppress(OSError):
+                while flooding.recv(READ_BYTES):
+                    pass
+
+        for run in (write, read):
+            threading.Thread(target=run, daemon=True).start()
+        while time.monotonic() < end_s:
+            start_s = time.monotonic()
+            assert RespClient(other).call(b"PING") == b"+PONG\r\n"
+            waited_s.append(time.monotonic() - start_s)
+            time.sleep(0.01)
+    assert max(waited_s) <= LONGEST_TURN_S
