Tests: the stand-ins of real processes share their listener

Cause: the slot server repeated the host's listener and its threads. Change: both are a ThreadedServer now.

--- a/tests/process_harness.py
+++ b/tests/process_harness.py
@@ -59,7 +59,29 @@
     body_size: int
 
 
-class StandInHost:
+class ThreadedServer:
+    """A listener with a thread for each connection, which runs `_serve`."""
+
+    def __init__(self):
+        self.listener = socket.create_server((ADDRESS, 0), backlog=512)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.listener.accept()
+                self._prepare(sock)
+                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _prepare(self, sock):
+        """Set options of an accepted socket."""
+
+    def close(self):
+        self.listener.close()
+
+
+class StandInHost(ThreadedServer):
     """A host: a thread for each connection, one request at a time.
 
     Attributes:
@@ -76,17 +98,11 @@
         self.slow_work_s = 5.0
         self.receive_buffer_bytes = 1 << 16
         self.answer = lambda sock: sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv")
-        self.listener = socket.create_server((ADDRESS, 0), backlog=512)
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
+        super().__init__()
 
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self.listener.accept()
-                if self.read_bytes_per_s and self.receive_buffer_bytes:
-                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
-                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+    def _prepare(self, sock):
+        if self.read_bytes_per_s and self.receive_buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes)
 
     def _serve(self, sock):
         with contextlib.suppress(OSError, ValueError), sock, sock.makefile("rb") as file:
@@ -127,9 +143,6 @@
                 time.sleep(len(part) / self.read_bytes_per_s)
         return size
 
-    def close(self):
-        self.listener.close()
-
 
 class BalancerProcess:
     """A balancer until the end of the `with` block; one host is its cache and its origin."""
--- a/tests/resp_process_harness.py
+++ b/tests/resp_process_harness.py
@@ -1,11 +1,9 @@
 """A RESP balancer in a process of its own, with one slot server and clients on real sockets."""
 
 import contextlib
-import socket
-import threading
 import time
 
-from process_harness import ADDRESS, BalancerProcess, free_port
+from process_harness import ADDRESS, BalancerProcess, ThreadedServer, free_port
 
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command
@@ -15,7 +13,7 @@
 COMMAND_TIMEOUT_S = 2.5
 
 
-class SlotServer:
+class SlotServer(ThreadedServer):
     """A slot server that owns all slots: a thread for each connection.
 
     Attributes:
@@ -26,15 +24,7 @@
 
     def __init__(self, value=b"v", work_s=0.03):
         self.value, self.work_s, self.serial_work_s = value, work_s, 0.0
-        self.listener = socket.create_server((ADDRESS, 0), backlog=512)
-        self.port = self.listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self.listener.accept()
-                threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+        super().__init__()
 
     def _serve(self, sock):
         reader = RespReader()
@@ -60,9 +50,6 @@
             return encode_array([encode_bulk(self.value)] * (len(words) - 1))
         return encode_bulk(self.value) if name == b"GET" else b"+OK\r\n"
 
-    def close(self):
-        self.listener.close()
-
 
 class RespBalancerProcess(BalancerProcess):
     """A balancer that serves RESP before one slot server, until the end of the `with` block."""
