RESP: the replies that are due and their limits are a module of their own

Change: OutstandingReplies keeps the replies, their number and their expected size; a test names it where it read the replies from the connection, its assertion is as before.

--- /dev/null
+++ b/orchidgap/resp/outstanding_replies.py
@@ -0,0 +1,60 @@
+"""The replies of one client connection that are not written yet, and the limits on them."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from orchidgap.resp.replies import Reply
+
+# Most commands, and parts of such, whose replies are not written yet; one more command is accepted
+# below that, however many parts it has.
+MAX_OUTSTANDING_PARTS = 1_024
+MAX_EXPECTED_BYTES = 1 << 20  # limit for the expected size of all outstanding replies
+# Initial estimate of a reply's size: few commands are accepted until replies have been measured.
+FIRST_REPLY_BYTES = MAX_EXPECTED_BYTES // 16
+REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
+
+
+class OutstandingReplies:
+    """Replies in the order of their commands.
+
+    Attributes:
+        replies: the replies.
+        part_count: outstanding commands, counting each part of a split one.
+        smoothed_reply_bytes: moving average of the reply size.
+    """
+
+    __slots__ = ("part_count", "replies", "smoothed_reply_bytes")
+
+    def __init__(self) -> None:
+        """Starts without replies."""
+        self.replies: deque[Reply] = deque()
+        self.part_count = 0
+        self.smoothed_reply_bytes = FIRST_REPLY_BYTES
+
+    def add(self, reply: Reply) -> None:
+        """Adds the reply to the command that was read last."""
+        self.replies.append(reply)
+        self.part_count += reply.part_count
+
+    def replace_last(self, reply: Reply) -> None:
+        """Replaces the reply that was added last."""
+        self.part_count -= self.replies.pop().part_count
+        self.add(reply)
+
+    def is_full(self) -> bool:
+        """Returns whether the limits are reached."""
+        expected_bytes = len(self.replies) * self.smoothed_reply_bytes
+        return self.part_count >= MAX_OUTSTANDING_PARTS or expected_bytes > MAX_EXPECTED_BYTES
+
+    def take_ready(self) -> list[bytes]:
+        """Removes the replies up to the first unanswered command, and returns them encoded."""
+        ready = []
+        while self.replies and self.replies[0].encoded is not None:
+            reply = self.replies.popleft()
+            self.part_count -= reply.part_count
+            encoded = reply.take_encoded()
+            ready.append(encoded)
+            difference = len(encoded) - self.smoothed_reply_bytes
+            self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
+        return ready
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import socket
-from collections import deque
 from functools import partial
 
 from orchidgap.net.client_connection import ClientConnection
@@ -22,19 +21,13 @@
 from orchidgap.resp.config import RespConfig
 from orchidgap.resp.framing import MAX_ITEM_BYTES
 from orchidgap.resp.local_commands import LOCAL_COMMANDS, OK, slot_of_key
+from orchidgap.resp.outstanding_replies import OutstandingReplies
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.replies import JoinedReply, Reply
 from orchidgap.resp.session import Session
 from orchidgap.resp.writers import encode_bulk, encode_command, encode_error
 
-# Most commands of one connection, and parts of such, whose replies are not written yet; one more
-# command is accepted below that, however many parts it has.
-MAX_QUEUED_REPLIES = 1_024
-# Limit of one connection for its write buffer, and for the expected size of outstanding replies.
-MAX_QUEUED_BYTES = 1 << 20
-# Initial estimate of a reply's size: few commands are accepted until replies have been measured.
-FIRST_REPLY_BYTES = MAX_QUEUED_BYTES // 16
-REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
+MAX_WRITE_BUFFER_BYTES = 1 << 20  # of one connection; above that no commands are read
 WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether a client reads its replies again
 MAX_HANDLING_US = 5_000  # after which a client's received commands go on in the next turn
 MAX_SHOWN_BYTES = 60  # length limit of a command name in an error reply
@@ -57,15 +50,13 @@
         config: the RESP configuration.
         session: user, client name and protocol version.
         reader: the parser of received bytes.
-        replies: replies that are not written yet, in the order of their commands.
+        outstanding: replies that are not written yet.
         scheduler: forwards commands to servers in their order.
         capacity_freed_at_us: when written replies last freed capacity for further commands.
-        smoothed_reply_bytes: moving average of the reply size.
         command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
             connection ends once the outstanding replies are written.
-        part_count: outstanding commands, counting each part of a split one.
         goes_on_next_turn: received commands are left to be handled in the next turn of the loop.
         is_ending: commands that are read from now on are denied, and the connection ends as soon
             as no reply is outstanding.
@@ -80,12 +71,10 @@
         "has_last_command",
         "holds_replies",
         "is_ending",
-        "part_count",
+        "outstanding",
         "reader",
-        "replies",
         "scheduler",
         "session",
-        "smoothed_reply_bytes",
     )
 
     def __init__(
@@ -96,12 +85,10 @@
         self.config = config
         self.session = Session(config, number)
         self.reader = RespReader()
-        self.replies: deque[Reply] = deque()
+        self.outstanding = OutstandingReplies()
         self.scheduler = CommandScheduler(listener.loop, listener.handler.slot_owner)
         self.capacity_freed_at_us = 0
-        self.smoothed_reply_bytes = FIRST_REPLY_BYTES
         self.command_count = 0
-        self.part_count = 0
         self.goes_on_next_turn = False
         self.has_last_command = False
         self.holds_replies = False
@@ -113,7 +100,7 @@
     @property
     def request_begun(self) -> bool:
         """Whether part of a command has arrived, or a command is not answered."""
-        return self.reader.unread_bytes() > 0 or bool(self.replies)
+        return self.reader.unread_bytes() > 0 or bool(self.outstanding.replies)
 
     @property
     def begun_request_count(self) -> int:
@@ -130,15 +117,15 @@
 
     def on_disconnect(self) -> None:
         """Discards the client's commands after it has disconnected."""
-        replies = list(self.replies)
-        self.replies = deque()
+        replies = self.outstanding.replies
+        self.outstanding = OutstandingReplies()
         self.scheduler.close()
         for reply in replies:
             reply.on_client_disconnect()
 
     def is_idle(self) -> bool:
         """Returns whether no reply is outstanding and no received bytes are unread."""
-        return not self.replies and super().is_idle()
+        return not self.outstanding.replies and super().is_idle()
 
     def end_when_answered(self) -> None:
         """Denies commands that are read from now on, and ends between two replies."""
@@ -148,7 +135,7 @@
     def deny_waiting(self) -> None:
         """Denies the commands that wait for others of their slot or server, and all later ones."""
         self.is_ending = True
-        waiting = [part for reply in self.replies for part in reply.unforwarded()]
+        waiting = [part for reply in self.outstanding.replies for part in reply.unforwarded()]
         for reply in waiting:
             reply.forward = None
             self.deny(reply)
@@ -178,14 +165,7 @@
 
     def write_replies(self) -> None:
         """Writes the encoded replies up to the first unanswered command."""
-        ready = []
-        while self.replies and self.replies[0].encoded is not None:
-            reply = self.replies.popleft()
-            self.part_count -= reply.part_count
-            encoded = reply.take_encoded()
-            ready.append(encoded)
-            difference = len(encoded) - self.smoothed_reply_bytes
-            self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
+        ready = self.outstanding.take_ready()
         self.capacity_freed_at_us = self.listener.loop.now
         self.requests_answered += len(ready)
         if ready and self.conn.is_open:
@@ -193,13 +173,13 @@
         if self.has_last_command:
             self.finish_after_last_command()
             return
-        may_resume = self.conn.read_paused or not self.replies
+        may_resume = self.conn.read_paused or not self.outstanding.replies
         if self.conn.is_open and not self.conn.closing and may_resume:
             self.listener.loop.call_soon(self.process_input)
 
     def finish_after_last_command(self) -> None:
         """Ends the connection if its last command and all earlier ones are answered."""
-        if not self.replies:
+        if not self.outstanding.replies:
             self.conn.pause_reading(False)  # to notice when the client closes
             self.finish()
 
@@ -227,12 +207,12 @@
             if self.has_last_command:
                 self.conn.pause_reading(True)
                 return
-            if len(self.conn.write_buffer) > MAX_QUEUED_BYTES:
+            if len(self.conn.write_buffer) > MAX_WRITE_BUFFER_BYTES:
                 # No event reports that the client reads again, so the buffer is polled.
                 self.pause_commands()
                 self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_write_buffer)
                 return
-            if self.has_full_queue():
+            if self.outstanding.is_full():
                 self.pause_commands()
                 return
             words = self.reader.read_command()
@@ -273,11 +253,6 @@
             self.arrival.on_resumed()
         self.conn.pause_reading(False)
 
-    def has_full_queue(self) -> bool:
-        """Returns whether the limits on outstanding replies are reached."""
-        expected_bytes = len(self.replies) * self.smoothed_reply_bytes
-        return self.part_count >= MAX_QUEUED_REPLIES or expected_bytes > MAX_QUEUED_BYTES
-
     def after_input(self) -> None:
         """Closes the connection, waits for the rest of a command, or marks the connection as idle.
 
@@ -289,7 +264,7 @@
         elif self.reader.unread_bytes() > memory_pressure.buffer_bytes(MAX_ITEM_BYTES):
             self.listener.counts.rejections[SERVICE_UNAVAILABLE] += 1
             self.end_with_error(MEMORY_IS_SHORT)
-        elif self.replies:
+        elif self.outstanding.replies:
             return
         elif self.is_ending and not self.reader.unread_bytes():
             self.listener.loop.call_soon(self.finish_if_answered)
@@ -318,16 +293,21 @@
         What has arrived by now is read and answered first, in one write right before the end: a
         client that writes a command for each reply would otherwise always have written one more.
         """
-        if self.replies or self.goes_on_next_turn or not self.conn.is_open or self.conn.closing:
+        if (
+            self.outstanding.replies
+            or self.goes_on_next_turn
+            or not self.conn.is_open
+            or self.conn.closing
+        ):
             return
         if self in self.listener.awaiting_request:  # its first command, or the rest of one, is due
             return
         self.holds_replies = True
         read_up_to_us = self.read_arrived()
         self.holds_replies = False
-        if self.replies:
+        if self.outstanding.replies:
             self.write_replies()
-        is_answered = not (self.replies or self.reader.unread_bytes())
+        is_answered = not (self.outstanding.replies or self.reader.unread_bytes())
         if is_answered and self.conn.is_open and not self.conn.closing:
             self.finish(read_up_to_us)
 
@@ -377,8 +357,7 @@
     def add_reply(self) -> Reply:
         """Returns the reply to a command that was read, which is outstanding from now on."""
         reply = Reply(self)
-        self.replies.append(reply)
-        self.part_count += 1
+        self.outstanding.add(reply)
         return reply
 
     def run_local(self, name: bytes, words: list[bytes]) -> bytes | None:
@@ -408,11 +387,10 @@
             reply.set_encoded(encode_error("CROSSSLOT Keys in request don't hash to the same slot"))
             return
         joined = JoinedReply(self, command.join)
-        self.replies[-1] = joined
         joined.positions = list(positions_by_slot.values())
         joined.parts = [Reply(self, joined) for _ in positions_by_slot]
         joined.part_count = len(joined.parts)
-        self.part_count += joined.part_count - 1
+        self.outstanding.replace_last(joined)
         for part, (slot, positions) in zip(joined.parts, positions_by_slot.items()):
             part_words = [words[0], *(keys[position] for position in positions)]
             self.forward(part, command, part_words, part_words[1], slot)
--- a/tests/resp/test_resp.py
+++ b/tests/resp/test_resp.py
@@ -226,7 +226,7 @@
     assert (
         connection.conn.read_paused
         and len(connection.conn.write_buffer) < 2 << 20
-        and len(connection.replies) <= 1_024
+        and len(connection.outstanding.replies) <= 1_024
     )
     client.conn.pause_reading(False)
     cluster.advance(5_000_000)
