Log: which servers RESP uses, and how many of `known` are not ready

Change: `listening` tells the version of `known` and how many of its hosts are not ready; the new line `servers` tells it of the servers that RESP uses, each time that changes.

Tests of net, http1 and resp: 1,174 passed, 2 listed ones passed.

--- a/orchidgap/net/server.py
+++ b/orchidgap/net/server.py
@@ -15,6 +15,7 @@
 from orchidgap.admin import protocol as admin_protocol
 from orchidgap.admin.server import AdminServer
 from orchidgap.decisions.balancer import Balancer
+from orchidgap.decisions.records import HostStatus
 from orchidgap.decisions.shadow import ShadowBalancer
 from orchidgap.errors import ConfigError
 from orchidgap.net import config
@@ -152,12 +153,15 @@
         handover.find_predecessor()
     else:
         listen_with_retry(node.clients.listen, balancer_config.listen)
-    _, _, _, endpoints = balancer_config.initial_endpoints
+    initial_list = balancer_config.initial_endpoints
+    not_ready = sum(entry.state != HostStatus.READY for entry in initial_list.entries)
     log(
         "listening",
         listen=format_address(balancer_config.listen),
         operators=balancer_config.admin and format_address(balancer_config.admin),
-        hosts=len(endpoints),
+        hosts=len(initial_list.entries),
+        not_ready=not_ready,
+        list_version=initial_list.version,
         clients=node.clients.max_clients,
         links=node.pools.max_connections,
     )
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -219,6 +219,8 @@
         if states == self.reported_states:
             return
         self.reported_states = states
+        not_ready = sum(state != READY for state in states.values())
+        self.node.event_log("servers", count=len(states), not_ready=not_ready)
         entries = [
             EndpointEntry(name, state, 0, "", SLOT_SERVER_KIND, name, 1.0)
             for name, state in states.items()
