RESP: a start while discovery is down uses the states in `known`

Cause: over RESP the servers and their states come from SlotDiscovery. Node.start gave `known` to the node past it, and its first report of the seeds, whose states it did not know, replaced the list in the same millisecond.

Fix: the source of the list gets `known` (HostDiscovery.recall_list), as it gets an older process's list. Over RESP its states count by address until discovery tells a list. Its ready servers are asked for the map after the seeds, so that an old list delays nothing.

--- a/orchidgap/http1/discovery.py
+++ b/orchidgap/http1/discovery.py
@@ -23,6 +23,7 @@
 from orchidgap.net.attempt_failure import AttemptFailure
 from orchidgap.net.connection import Connection
 from orchidgap.net.dialing import dial
+from orchidgap.net.discovery import HostListReceiver
 from orchidgap.net.endpoints import Endpoint, EndpointEntry, HostList, decode_list
 from orchidgap.net.loop import Loop, Timer
 
@@ -50,8 +51,7 @@
         loop: the event loop.
         address: the address of the agent.
         rng: source of the jitter that keeps balancers from repeating calls at the same time.
-        on_list: called with each list or change: whether it is the whole list, its entries and its
-            endpoints.
+        receiver: is notified of each list or change.
         log: writes an event with its fields.
         dialer: opens connections.
         has_list: whether a whole list has arrived since the start.
@@ -67,7 +67,7 @@
         loop: Loop,
         address: Address,
         rng: Random,
-        on_list: Callable[[bool, list[EndpointEntry], list[Endpoint]], None],
+        receiver: HostListReceiver,
         log: Callable[..., None],
         dial: Callable[[Address], socket.socket | AttemptFailure] = dial,
     ) -> None:
@@ -75,7 +75,7 @@
         self.loop = loop
         self.address = address
         self.rng = rng
-        self.on_list = on_list
+        self.receiver = receiver
         self.log = log
         self.dialer = dial
         self.has_list = False
@@ -122,11 +122,15 @@
         self.set_timer(self.wait_ms * 1000 + grace_us, self.on_closed, NO_RESPONSE)
         self.conn.send(f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
 
+    def recall_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Uses the list of the configuration until another one arrives."""
+        self.receiver.on_recalled_list(entries, endpoints)
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Uses the list of an older process until a whole list has arrived; returns whether."""
         if self.has_list:
             return False
-        self.on_list(True, entries, endpoints)
+        self.receiver.on_list(True, entries, endpoints)
         return True
 
     def set_address(self, address: Address) -> None:
@@ -180,7 +184,7 @@
             self.has_list = True
             self.log("list received", version=version, hosts=len(entries))
         if is_whole or entries:
-            self.on_list(is_whole, entries, endpoints)
+            self.receiver.on_list(is_whole, entries, endpoints)
         watched_us = self.loop.now - self.polled_at_us
         ended_early = self.wait_ms > 0 and not entries and watched_us < MIN_WATCH_US
         self.set_timer(WATCH_PAUSE_US if ended_early else 0, self.fetch)
--- a/orchidgap/http1/protocol.py
+++ b/orchidgap/http1/protocol.py
@@ -51,5 +51,5 @@
     def make_discovery(self, node: Node, dial: Dial) -> DiscoveryClient:
         """Returns the client that fetches the host list for the node."""
         return DiscoveryClient(
-            node.loop, node.config.discovery, node.balancer.rng, node.on_list, node.event_log, dial
+            node.loop, node.config.discovery, node.balancer.rng, node, node.event_log, dial
         )
--- a/orchidgap/net/discovery.py
+++ b/orchidgap/net/discovery.py
@@ -13,8 +13,21 @@
 Dial = Callable[[Address], socket.socket | AttemptFailure]
 
 
+class HostListReceiver(Protocol):
+    """Uses the host list that discovery tells."""
+
+    def on_list(self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Use the list of hosts, or changes to it."""
+
+    def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Use a list that was told before this process started, while a new one is awaited."""
+
+
 class HostDiscovery(Protocol):
-    """A source of the host list; it calls `Node.on_list`."""
+    """A source of the host list for a `HostListReceiver`."""
+
+    def recall_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Use the configuration's list, as this balancer last had it, until discovery tells one."""
 
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Use the host list of this balancer's older process, and return whether it is used.
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -137,8 +137,7 @@
     def start(self) -> None:
         """Start with the host list of the configuration, and request a newer one."""
         _, _, entries, endpoints = self.config.initial_endpoints
-        self.apply_endpoints(True, entries, endpoints)
-        self.call_decisions(self.balancer.on_hosts, ListScope.RECALLED, entries)
+        self.discovery.recall_list(entries, endpoints)
         self.check_ready()
         # The configuration's list may be outdated, and the process is expected to follow
         # discovery's list from the start.
@@ -271,6 +270,11 @@
         self.call_decisions(self.balancer.on_hosts, scope, entries)
         self.end_list_wait()
 
+    def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Apply a list that was told before this process started, and go on waiting for another."""
+        self.apply_endpoints(True, entries, endpoints)
+        self.call_decisions(self.balancer.on_hosts, ListScope.RECALLED, entries)
+
     def end_list_wait(self) -> None:
         """Stop waiting for discovery's list, which has arrived or is overdue.
 
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -123,7 +123,7 @@
                 node.loop,
                 node.config.discovery,
                 node.balancer.rng,
-                self.on_list,
+                self,
                 node.event_log,
                 dial,
             )
@@ -138,6 +138,10 @@
         self.report_servers()
         self.refresh_map()
 
+    def recall_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Uses the list of the configuration until another one arrives."""
+        self.on_recalled_list(entries, endpoints)
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Uses the servers of an older process until a whole list has arrived; returns whether.
 
@@ -166,6 +170,18 @@
         Servers are matched by address, as discovery's ids differ from the cluster's. The entry of a
         host that has gone has no address, so the address from an earlier list is used.
         """
+        self.record_list(is_whole, entries, endpoints)
+        self.report_servers()
+
+    def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
+        """Applies the host list that this balancer had before this process started."""
+        self.record_list(True, entries, endpoints)
+        self.report_servers()
+
+    def record_list(
+        self, is_whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]
+    ) -> None:
+        """Records the states in a list, and the servers that it lists as ready."""
         if is_whole:
             self.forget_absent({endpoint.host for endpoint in endpoints})
         for endpoint in endpoints:
@@ -174,7 +190,6 @@
             _, port = address
             if state == READY and entry[4] != ORIGIN_KIND and port:
                 self.servers.setdefault(format_address(address), address)
-        self.report_servers()
 
     def forget_absent(self, listed: set[str]) -> None:
         """Forgets the hosts that a whole list does not have: they have gone.
@@ -250,13 +265,17 @@
         self.refresh_map()
         self.loop.call_later(CHECK_INTERVAL_US, self.run_periodic_refresh)
 
+    def map_sources(self) -> list[str]:
+        """Returns the servers to request the map from: seeds first, as others may be outdated."""
+        return sorted(self.servers, key=lambda name: (name not in self.seeds, name))
+
     def refresh_map(self) -> None:
         """Requests the slot map from one server if a refresh is due and none is in progress."""
         if self.conn is not None or not self.servers:
             return
         if not self.slots.start_refresh_if_due(self.loop.now):
             return
-        names = sorted(self.servers)
+        names = self.map_sources()
         name = names[self.refresh_count % len(names)]
         self.refresh_count += 1
         sock = self.dial(self.servers[name])
--- a/tests/resp/test_stalled_commands.py
+++ b/tests/resp/test_stalled_commands.py
@@ -29,6 +29,8 @@
 from orchidgap.resp.writers import encode_array, encode_bulk, encode_command
 
 FIRST_PORT, SECOND_PORT = 100, 101
+DISCOVERY_PORT = 8500
+DISCOVERY = f"127.0.0.1:{DISCOVERY_PORT}"
 SLOTS = 16_384
 WAITING = 40  # number of queued commands; more than a server is sent at once
 SHORT_TIMEOUT_MS = STALL_US // 1000 - 50  # expires before the stalled turn resumes
@@ -44,18 +46,22 @@
 
 
 class RespLoopbackHarness(LoopbackHarness):
-    """A RESP node with discovery and two slot servers, each of which owns half of the slots."""
+    """A RESP node with discovery and two slot servers, each of which owns half of the slots.
 
-    def __init__(self, timeout_ms):
+    `known` is the host list of the configuration; unless `listed`, discovery answers nothing.
+    The first server answers `map_answer` to the first request for the map; by default, the map.
+    """
+
+    def __init__(self, timeout_ms, known=None, listed=True, discovery=DISCOVERY, map_answer=None):
         self.listeners_by_port, self.dialled, self.open_sockets = {}, [], []
         self.now, self.log = 10**12, EventRecorder()
         self.loop = Loop(clock=lambda: self.now, on_error=self.log.exception)
         document = {
             "name": "n0",
             "listen": "127.0.0.1:1",
-            "discovery": "127.0.0.1:8500",
+            "discovery": discovery,
             "seed": "7",
-            "known": None,
+            "known": known,
             "limits": None,
             "settings": {"rule-sets": RULES},
             "resp": {"seeds": [f"127.0.0.1:{FIRST_PORT}"], "timeout-ms": timeout_ms},
@@ -65,9 +71,11 @@
         self.node = Node(self.loop, node_config, self.log, protocol, self.dial)
         self.node.start()
         self.turn()
-        push_host_list(self, 41, True, [self.host_entry(0), self.host_entry(1)])
-        self.turn()
-        self.send_and_turn(self.host_socket(0), slot_ranges())
+        if listed:
+            push_host_list(self, 41, True, [self.host_entry(0), self.host_entry(1)])
+            self.turn()
+        answer = slot_ranges() if map_answer is None else map_answer
+        self.send_and_turn(self.host_socket(0), answer)
 
     def commands(self, port):
         """Returns the unread commands at the server on this port, each with its socket."""
