RESP: a process is ready once discovery has told a list

Cause: the report of the seeds at the start went through Node.on_list, which ends the wait for discovery's list.

Fix: SlotDiscovery reports servers with Node.apply_list, and ends the wait where a list was told, an older process's list is used, or no discovery is configured.

--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -264,16 +264,20 @@
     # --- calls of discovery
 
     def on_list(self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
-        """Apply the list of hosts, or changes to it."""
-        self.apply_endpoints(whole, entries, endpoints)
-        scope = ListScope.WHOLE if whole else ListScope.CHANGES
-        self.call_decisions(self.balancer.on_hosts, scope, entries)
+        """Apply the list of hosts, or changes to it, as discovery has told it."""
+        self.apply_list(ListScope.WHOLE if whole else ListScope.CHANGES, entries, endpoints)
         self.end_list_wait()
 
     def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
-        """Apply a list that was told before this process started, and go on waiting for another."""
-        self.apply_endpoints(True, entries, endpoints)
-        self.call_decisions(self.balancer.on_hosts, ListScope.RECALLED, entries)
+        """Apply a list that was told before this process started."""
+        self.apply_list(ListScope.RECALLED, entries, endpoints)
+
+    def apply_list(
+        self, scope: ListScope, entries: list[EndpointEntry], endpoints: list[Endpoint]
+    ) -> None:
+        """Apply a list of hosts, which may not be the one that is awaited from discovery."""
+        self.apply_endpoints(scope is not ListScope.CHANGES, entries, endpoints)
+        self.call_decisions(self.balancer.on_hosts, scope, entries)
 
     def end_list_wait(self) -> None:
         """Stop waiting for discovery's list, which has arrived or is overdue.
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from orchidgap.decisions.host_list import ListScope
 from orchidgap.decisions.slot_map import SlotMap, SlotRange
 from orchidgap.http1.discovery import DiscoveryClient
 from orchidgap.net.addresses import Address, format_address, parse_address
@@ -133,9 +134,11 @@
 
     def fetch(self) -> None:
         """Starts fetching the host list and the slot map."""
+        self.report_servers()
         if self.discovery:
             self.discovery.fetch()
-        self.report_servers()
+        else:
+            self.node.end_list_wait()
         self.refresh_map()
 
     def recall_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
@@ -155,6 +158,7 @@
             if state != READY or address in self.states:
                 self.states[address] = state
         self.report_servers()
+        self.node.end_list_wait()
         return True
 
     def set_address(self, address: Address) -> None:
@@ -172,6 +176,7 @@
         """
         self.record_list(is_whole, entries, endpoints)
         self.report_servers()
+        self.node.end_list_wait()
 
     def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
         """Applies the host list that this balancer had before this process started."""
@@ -241,7 +246,7 @@
             for name, state in states.items()
         ]
         endpoints = [Endpoint(name, state, self.servers[name]) for name, state in states.items()]
-        self.node.on_list(True, entries, endpoints)
+        self.node.apply_list(ListScope.WHOLE, entries, endpoints)
 
     def on_redirect(self, redirect: Redirect) -> None:
         """Adds the target of a redirection, and updates the map (MOVED) or requests it (ASK)."""
--- a/tests/resp/test_recalled_list.py
+++ b/tests/resp/test_recalled_list.py
@@ -174,3 +174,22 @@
     assert not node.sends_to(0)
     assert node.sends_to(1)
     assert node.net.node.is_ready()
+
+
+def test_a_new_process_is_ready_only_once_discovery_has_told_a_list():
+    # Guards against a process that takes over from its predecessor before it knows who drains.
+    net = RespLoopbackHarness(LONG_TIMEOUT_MS, listed=False)
+    net.advance(FIRST_LIST_TIMEOUT_US - 1)
+    assert not net.node.is_ready()
+    net.advance(1)
+    assert net.node.is_ready()
+
+
+@pytest.mark.parametrize("health", ["Ready", "Terminating"])
+def test_a_list_that_changes_no_state_makes_a_new_process_ready(health):
+    # Guards against a wait for a list that has arrived, and was equal to the configured one.
+    node = RecallingNode(0, health)
+    assert not node.net.node.is_ready()
+    received_text(discovery_socket(node.net))
+    node.tell(6, node.entries)
+    assert node.net.node.is_ready()
