RESP: an address that changed hosts has the state of the newer host

Where discovery's list or `known` has two hosts at one address, the state of the one that came last in the list counted, whichever started later.

Cause: states were kept by address and overwritten in the order of the list.

Fix: decisions/listed_addresses keeps discovery's entries by host and derives the states: the host that started last counts, of two that started together the one told last, in one list the later. It replaces two maps of SlotDiscovery. An address whose host is listed elsewhere now drains; it stayed ready. Two tests empty the states by their new place; their assertions are as before.

--- a/orchidgap/decisions/__init__.py
+++ b/orchidgap/decisions/__init__.py
@@ -21,6 +21,7 @@
 | whether a request may be retried       | `retry_policy`      | its safety and attempts         |
 | whether a repeat of it does harm       | `repeat_safety`     | its class and idempotency key   |
 | which server owns a slot               | `slot_map`          | slot maps and redirections      |
+| which state a listed address has       | `listed_addresses`  | hosts that are listed there     |
 | what other settings would decide       | `shadow`            | each decision                   |
 
 `request_table` lists why and by which function a request is rejected, `rejections` the names under
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from orchidgap.decisions.host_list import ListScope
+from orchidgap.decisions.listed_addresses import ListedAddresses, ListedHost
+from orchidgap.decisions.records import HostStatus
 from orchidgap.decisions.slot_map import SlotMap, SlotRange
 from orchidgap.http1.discovery import DiscoveryClient
 from orchidgap.net.addresses import Address, format_address, parse_address
@@ -19,12 +21,9 @@
 
 CHECK_INTERVAL_US = 100_000
 MAX_MAP_BYTES = 1 << 22  # sufficient if each of the 16,384 slots is a range of its own
-MAX_GONE_ADDRESSES = 1_024  # addresses that are remembered though no host is listed there any more
 ANSWER_TIMEOUT_US = 1_000_000  # limit for a server to return its slot map
 CLUSTER_SLOTS = encode_command(b"CLUSTER", b"SLOTS")
-READY = "up"
-DRAINING = "draining"
-GONE = "gone"
+READY = HostStatus.READY
 ORIGIN_KIND = "origin"
 SLOT_SERVER_KIND = "slots"
 
@@ -88,8 +87,7 @@
         secret: arguments of AUTH; empty if the servers require no authentication.
         seeds: the configured servers, by name.
         servers: all servers from the slot map, seeds, redirections and discovery, by name.
-        states: the state of each address that discovery has listed, now or before.
-        addresses: the last address of each host in discovery's lists, by discovery's host id.
+        listed: the states of the addresses that discovery has listed, now or before.
         reported_states: the states last reported to the node, by server name.
         refresh_count: slot map requests so far; selects the server for the next one (round robin).
     """
@@ -110,9 +108,8 @@
         self.loop = node.loop
         self.seeds = {format_address(address): address for address in seeds}
         self.servers = dict(self.seeds)
-        self.states: dict[Address, str] = {}
-        self.addresses: dict[str, Address] = {}
-        self.reported_states: dict[str, str] = {}
+        self.listed = ListedAddresses()
+        self.reported_states: dict[str, HostStatus] = {}
         self.refresh_count = 0
         self.conn: Connection | None = None
         self.reader = RespReader(MAX_MAP_BYTES)
@@ -148,15 +145,13 @@
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Uses the servers of an older process until a whole list has arrived; returns whether.
 
-        Their ids are addresses. Servers that are ready there may be unknown to discovery, whose
-        list does not take them away then.
+        Their ids are addresses.
         """
         if self.discovery and self.discovery.has_list:
             return False
-        for name, state, address in endpoints:
+        for name, _, address in endpoints:
             self.servers.setdefault(name, address)
-            if state != READY or address in self.states:
-                self.states[address] = state
+        self.listed.restore_states({address: HostStatus(state) for _, state, address in endpoints})
         self.report_servers()
         self.node.end_list_wait()
         return True
@@ -171,8 +166,7 @@
     ) -> None:
         """Applies a host list from discovery to the servers' states.
 
-        Servers are matched by address, as discovery's ids differ from the cluster's. The entry of a
-        host that has gone has no address, so the address from an earlier list is used.
+        Servers are matched by address, as discovery's ids differ from the cluster's.
         """
         self.record_list(is_whole, entries, endpoints)
         self.report_servers()
@@ -187,65 +181,44 @@
         self, is_whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]
     ) -> None:
         """Records the states in a list, and the servers that it lists as ready."""
-        if is_whole:
-            self.forget_absent({endpoint.host for endpoint in endpoints})
-        for endpoint in endpoints:
-            self.record_state(endpoint)
+        listed = [
+            ListedHost(
+                entry.host,
+                HostStatus(entry.state),
+                None if address == NO_ADDRESS else address,
+                entry.started_at_us,
+            )
+            for entry, (_, _, address) in zip(entries, endpoints)
+        ]
+        self.listed.apply_list(listed, is_whole=is_whole)
         for entry, (_, state, address) in zip(entries, endpoints):
-            _, port = address
-            if state == READY and entry[4] != ORIGIN_KIND and port:
+            if state == READY and entry.kind != ORIGIN_KIND:
                 self.servers.setdefault(format_address(address), address)
 
-    def forget_absent(self, listed: set[str]) -> None:
-        """Forgets the hosts that a whole list does not have: they have gone.
-
-        Their addresses count as draining from then on, see `record_state`, until they are listed
-        again. An address that was never listed has no state: its server counts as ready.
-        """
-        self.states = dict.fromkeys(self.states, DRAINING)
-        self.addresses = {
-            host: address for host, address in self.addresses.items() if host in listed
-        }
-        listed_addresses = set(self.addresses.values())
-        unlisted = [address for address in self.states if address not in listed_addresses]
-        for address in unlisted[: max(0, len(unlisted) - MAX_GONE_ADDRESSES)]:
-            del self.states[address]
-
-    def record_state(self, endpoint: Endpoint) -> None:
-        """Records the state of an address, which is the state of the host last listed there.
+    def state(self, address: Address) -> HostStatus:
+        """Returns the state of the server at an address.
 
-        The address of a host that has gone may belong to another host by now. If it does not, its
-        server counts as draining while the slot map names it: commands for its slots do not wait
-        for another owner, and commands in flight there may finish.
+        One that was never listed counts as ready, as discovery need not know slot servers. While
+        the slot map names one that has gone, it counts as draining: commands for its slots do not
+        wait for another owner, and commands in flight there may finish.
         """
-        host, state, address = endpoint
-        if address != NO_ADDRESS:
-            self.addresses[host] = address
-        known_address = self.addresses.get(host)
-        if known_address is None:
-            return
-        if state != GONE:
-            self.states[known_address] = state
-            return
-        del self.addresses[host]
-        if known_address not in self.addresses.values():
-            self.states[known_address] = DRAINING
+        return self.listed.state(address) or READY
 
     def report_servers(self) -> None:
         """Reports the servers and their states to the node if they have changed."""
-        states = {
-            name: self.states.get(address, READY) for name, address in sorted(self.servers.items())
-        }
+        states = {name: self.state(address) for name, address in sorted(self.servers.items())}
         if states == self.reported_states:
             return
         self.reported_states = states
         not_ready = sum(state != READY for state in states.values())
         self.node.event_log("servers", count=len(states), not_ready=not_ready)
         entries = [
-            EndpointEntry(name, state, 0, "", SLOT_SERVER_KIND, name, 1.0)
+            EndpointEntry(name, state.value, 0, "", SLOT_SERVER_KIND, name, 1.0)
             for name, state in states.items()
         ]
-        endpoints = [Endpoint(name, state, self.servers[name]) for name, state in states.items()]
+        endpoints = [
+            Endpoint(name, state.value, self.servers[name]) for name, state in states.items()
+        ]
         self.node.apply_list(ListScope.WHOLE, entries, endpoints)
 
     def on_redirect(self, redirect: Redirect) -> None:
@@ -323,7 +296,7 @@
         listed_seeds = {
             name: address
             for name, address in self.seeds.items()
-            if self.states.get(address) == READY
+            if self.listed.state(address) is READY
         }
         self.servers = {name: parse_address(name) for name in names} | listed_seeds
         unknown = self.slots.unknown_slot_count()
--- a/tests/resp/test_recalled_list.py
+++ b/tests/resp/test_recalled_list.py
@@ -22,12 +22,15 @@
 
 
 class RecallingNode:
-    """A node whose configuration lists both servers, the one with this number in this state."""
+    """A node whose configuration lists both servers, the one with this number in this state.
 
-    def __init__(self, number, health, discovery=DISCOVERY):
-        self.number = number
-        self.entries = [RespLoopbackHarness.host_entry(each) for each in (0, 1)]
-        self.entries[number]["health"] = health
+    It has these `entries` instead if they are given.
+    """
+
+    def __init__(self, number, health, discovery=DISCOVERY, entries=None):
+        self.entries = entries or [RespLoopbackHarness.host_entry(each) for each in (0, 1)]
+        if entries is None:
+            self.entries[number]["health"] = health
         known = {"seq": 5, "whole": True, "hosts": self.entries}
         self.net = RespLoopbackHarness(LONG_TIMEOUT_MS, known, listed=False, discovery=discovery)
         self.commands_sent = [0, 0]
@@ -140,6 +143,27 @@
     assert node.sends_to(1 - number)
 
 
+@pytest.mark.parametrize("is_told", [True, False])
+@pytest.mark.parametrize("is_newer_last", [True, False])
+@pytest.mark.parametrize(("older", "newer"), [("Terminating", "Ready"), ("Ready", "Terminating")])
+def test_a_server_at_an_address_that_changed_hosts_has_the_state_of_the_newer_host(
+    older, newer, is_newer_last, is_told
+):
+    # Guards against the state of the host that the list happens to have last.
+    entry = RespLoopbackHarness.host_entry
+    hosts = [
+        {**entry(0, older, born=1), "host": "before"},
+        {**entry(0, newer, born=2), "host": "after"},
+    ]
+    entries = [entry(1), *(hosts if is_newer_last else reversed(hosts))]
+    node = RecallingNode(0, "Ready", entries=None if is_told else entries)
+    if is_told:
+        received_text(discovery_socket(node.net))
+        node.tell(6, entries)
+    assert node.sends_to(0) == (newer == "Ready")
+    assert node.sends_to(1)
+
+
 @pytest.mark.parametrize("number", [0, 1])
 @pytest.mark.parametrize("is_listed", [True, False])
 @pytest.mark.parametrize("health", ["Ready", "Terminating"])
--- a/tests/resp/test_slot_discovery.py
+++ b/tests/resp/test_slot_discovery.py
@@ -8,6 +8,7 @@
 from net_scenarios import discovery_socket, push_host_list
 from test_stalled_commands import FIRST_PORT, StalledCommandScenario
 
+from orchidgap.decisions.listed_addresses import ListedAddresses
 from orchidgap.net.endpoints import Endpoint, EndpointEntry
 from orchidgap.net.handover.coordinator import Handover
 
@@ -98,8 +99,7 @@
 def test_a_server_that_was_never_listed_is_sent_commands():
     # The servers' own map may name one before discovery does.
     scenario = StalledCommandScenario(0, 2_000)
-    scenario.net.node.discovery.states.clear()
-    scenario.net.node.discovery.addresses.clear()
+    scenario.net.node.discovery.listed = ListedAddresses()
     push_host_list(scenario.net, 42, True, [scenario.net.host_entry(1)])
     scenario.send_command(1)
     scenario.net.turn()
@@ -141,7 +141,7 @@
     scenario = StalledCommandScenario(0, 2_000)
     discovery = scenario.net.node.discovery
     discovery.discovery.has_list = False
-    discovery.states.clear()
+    discovery.listed = ListedAddresses()
     receive_old_list(scenario, "draining")
     discovery.servers["127.0.0.1:99"] = ("127.0.0.1", 99)  # as from a slot map
     discovery.report_servers()
