RESP: a new process learns the states of servers that are not in use

A new process that hears nothing from discovery followed a redirection to a server that the older process knew to drain, where the slot map did not name that server.

Cause: the host list of a hand-over was the list of servers in use.

Fix: HostDiscovery.unused_endpoints adds the states of the other listed addresses (HTTP/1.1 uses all, so it has none). The form of the messages is unchanged. Restored servers that are not ready are no longer asked for the slot map.

--- a/orchidgap/http1/discovery.py
+++ b/orchidgap/http1/discovery.py
@@ -126,6 +126,10 @@
         """Uses the list of the configuration until another one arrives."""
         self.receiver.on_recalled_list(entries, endpoints)
 
+    def unused_endpoints(self) -> list[tuple[EndpointEntry, Endpoint]]:
+        """Returns an empty list: the node uses all hosts that are listed."""
+        return []
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Uses the list of an older process until a whole list has arrived; returns whether."""
         if self.has_list:
--- a/orchidgap/net/discovery.py
+++ b/orchidgap/net/discovery.py
@@ -29,6 +29,9 @@
     def recall_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
         """Use the configuration's list, as this balancer last had it, until discovery tells one."""
 
+    def unused_endpoints(self) -> list[tuple[EndpointEntry, Endpoint]]:
+        """Return the hosts whose states are known though the node does not use them."""
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Use the host list of this balancer's older process, and return whether it is used.
 
--- a/orchidgap/net/handover/ports.py
+++ b/orchidgap/net/handover/ports.py
@@ -84,6 +84,9 @@
     def descriptors_needed(self) -> int:
         """How many descriptors the node uses or needs immediately."""
 
+    def export_list(self) -> list[tuple[EndpointEntry, Endpoint]]:
+        """Return the host list for a successor process."""
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Use the host list of another process, unless it may be outdated; return whether."""
 
--- a/orchidgap/net/handover/successor.py
+++ b/orchidgap/net/handover/successor.py
@@ -82,7 +82,7 @@
 
     def send_endpoints(self) -> None:
         """Send the host list, in parts that fit into packets."""
-        endpoints = list(self.node.endpoints.values())
+        endpoints = self.node.export_list()
         for start in range(0, len(endpoints), HOSTS_PER_PACKET):
             part = endpoints[start : start + HOSTS_PER_PACKET]
             self.channel.send(
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -364,6 +364,10 @@
         may_retry = may_client_retry(request.request_class, request.repeat_safety)
         return 503 if may_retry else 500
 
+    def export_list(self) -> list[tuple[EndpointEntry, Endpoint]]:
+        """Return the host list for a successor process."""
+        return [*self.endpoints.values(), *self.discovery.unused_endpoints()]
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Use the host list of another process, unless it may be outdated; return whether."""
         return self.discovery.restore_list(entries, endpoints)
--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -76,6 +76,13 @@
     return name
 
 
+def server_endpoint(address: Address, state: HostStatus) -> tuple[EndpointEntry, Endpoint]:
+    """Returns the entries of a server for the node; its id is its address."""
+    name = format_address(address)
+    entry = EndpointEntry(name, state.value, 0, "", SLOT_SERVER_KIND, name, 1.0)
+    return entry, Endpoint(name, state.value, address)
+
+
 class SlotDiscovery:
     """Discovery for a node whose hosts are slot servers.
 
@@ -142,15 +149,24 @@
         """Uses the list of the configuration until another one arrives."""
         self.on_recalled_list(entries, endpoints)
 
+    def unused_endpoints(self) -> list[tuple[EndpointEntry, Endpoint]]:
+        """Returns the addresses with a state that are no servers, so far as the map is known."""
+        return [
+            server_endpoint(address, state)
+            for address, state in self.listed.states().items()
+            if format_address(address) not in self.servers
+        ]
+
     def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
         """Uses the servers of an older process until a whole list has arrived; returns whether.
 
-        Their ids are addresses.
+        Their ids are addresses. Those that are not ready may be no servers of the slot map.
         """
         if self.discovery and self.discovery.has_list:
             return False
-        for name, _, address in endpoints:
-            self.servers.setdefault(name, address)
+        for name, state, address in endpoints:
+            if state == READY:
+                self.servers.setdefault(name, address)
         self.listed.restore_states({address: HostStatus(state) for _, state, address in endpoints})
         self.report_servers()
         self.node.end_list_wait()
@@ -212,13 +228,9 @@
         self.reported_states = states
         not_ready = sum(state != READY for state in states.values())
         self.node.event_log("servers", count=len(states), not_ready=not_ready)
-        entries = [
-            EndpointEntry(name, state.value, 0, "", SLOT_SERVER_KIND, name, 1.0)
-            for name, state in states.items()
-        ]
-        endpoints = [
-            Endpoint(name, state.value, self.servers[name]) for name, state in states.items()
-        ]
+        rows = [server_endpoint(self.servers[name], state) for name, state in states.items()]
+        entries = [entry for entry, _ in rows]
+        endpoints = [endpoint for _, endpoint in rows]
         self.node.apply_list(ListScope.WHOLE, entries, endpoints)
 
     def on_redirect(self, redirect: Redirect) -> None:
--- a/tests/resp/test_slot_discovery.py
+++ b/tests/resp/test_slot_discovery.py
@@ -6,11 +6,23 @@
 from handover_harness import send_snapshot
 from loopback_harness import received_text
 from net_scenarios import discovery_socket, push_host_list
-from test_stalled_commands import FIRST_PORT, StalledCommandScenario
+from test_stalled_commands import (
+    FIRST_PORT,
+    LONG_TIMEOUT_MS,
+    SECOND_PORT,
+    RespLoopbackHarness,
+    StalledCommandScenario,
+    keys_of_half,
+    slot_ranges,
+)
 
 from orchidgap.decisions.listed_addresses import ListedAddresses
 from orchidgap.net.endpoints import Endpoint, EndpointEntry
 from orchidgap.net.handover.coordinator import Handover
+from orchidgap.resp.local_commands import slot_of_key
+from orchidgap.resp.writers import encode_command
+
+MAP_OF_FIRST = slot_ranges(owners=(0, 0))  # the first server owns all slots
 
 
 @pytest.mark.parametrize("health", ["Terminating", "Gone", "Odd"])
@@ -154,3 +166,55 @@
     scenario.send_command(2)
     scenario.net.turn()
     assert scenario.sent_commands()
+
+
+def hand_over(old, new):
+    """Have the new process receive the list of the old one."""
+    old_end, new_end = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+    for net in (old, new):
+        net.node.handover = Handover(net.loop, net.node, None, shared=True)
+    old.node.handover.accept_successor(old_end)
+    new.node.handover.join_predecessor(new_end)
+    for _ in range(4):
+        new.turn()
+        old.turn()
+    assert not new.node.handover.awaiting_snapshot
+
+
+@pytest.mark.parametrize("hears_discovery", [True, False])
+@pytest.mark.parametrize("health_in_file", ["Ready", None])
+def test_a_new_process_knows_which_servers_outside_the_slot_map_drain(
+    hears_discovery, health_in_file
+):
+    # Guards against a redirection to a server that the old process knew to drain, and did not use.
+    ready = RespLoopbackHarness.host_entry(0)
+    draining = RespLoopbackHarness.host_entry(1, "Terminating")
+    known = None if hears_discovery else {"seq": 5, "whole": True, "hosts": [ready, draining]}
+    old = RespLoopbackHarness(LONG_TIMEOUT_MS, known, listed=False, map_answer=MAP_OF_FIRST)
+    if hears_discovery:
+        push_host_list(old, 41, True, [ready, draining])
+    older_entries = [ready, RespLoopbackHarness.host_entry(1, health_in_file)]
+    known = health_in_file and {"seq": 4, "whole": True, "hosts": older_entries}
+    new = RespLoopbackHarness(LONG_TIMEOUT_MS, known, listed=False, map_answer=MAP_OF_FIRST)
+    hand_over(old, new)
+    client = new.connect_client(encode_command(b"GET", keys_of_half(1)[0]))
+    new.turn()
+    [(_, far)] = new.commands(FIRST_PORT)
+    slot = slot_of_key(keys_of_half(1)[0])
+    new.send_and_turn(far, b"-MOVED %d 127.0.0.1:%d\r\n" % (slot, SECOND_PORT))
+    assert new.commands(SECOND_PORT) == []
+    assert received_text(client).startswith("-TRYAGAIN")
+
+
+@pytest.mark.parametrize(("old", "in_file"), [("Terminating", "Ready"), ("Ready", "Terminating")])
+def test_the_list_of_an_old_process_counts_before_the_one_in_the_file(old, in_file):
+    # Guards against a list in the file that is older than what the old process has heard since.
+    entry = RespLoopbackHarness.host_entry
+    old_process = RespLoopbackHarness(LONG_TIMEOUT_MS)
+    push_host_list(old_process, 42, False, [entry(0, old)])
+    known = {"seq": 41, "whole": True, "hosts": [entry(0, in_file), entry(1)]}
+    new = RespLoopbackHarness(LONG_TIMEOUT_MS, known, listed=False)
+    hand_over(old_process, new)
+    new.connect_client(encode_command(b"GET", keys_of_half(0)[0]))
+    new.turn()
+    assert bool(new.commands(FIRST_PORT)) == (old == "Ready")
--- a/tests/resp/test_stalled_commands.py
+++ b/tests/resp/test_stalled_commands.py
@@ -83,17 +83,18 @@
         return [(text, far) for text, far in sent if text and "GET" in text]
 
 
-def slot_ranges():
+def slot_ranges(owners=(0, 1)):
+    """Returns the slot map in which these servers own the first and the second half."""
     return encode_array(
         [
             encode_array(
                 [
                     b":%d\r\n" % (half * SLOTS // 2),
                     b":%d\r\n" % ((half + 1) * SLOTS // 2 - 1),
-                    encode_array([encode_bulk(b"127.0.0.1"), b":%d\r\n" % (FIRST_PORT + half)]),
+                    encode_array([encode_bulk(b"127.0.0.1"), b":%d\r\n" % (FIRST_PORT + owner)]),
                 ]
             )
-            for half in (0, 1)
+            for half, owner in enumerate(owners)
         ]
     )
 
