A host that a list has as gone keeps its address

Over RESP a server that `known`, or discovery's first list, has as Gone was sent commands while the slot map named it.

Cause: servers are matched by address, and the address of a host that has gone was dropped as the list was read, so that one of which no earlier list told could not be matched. (The protocol page has Gone among changes only; lists made otherwise have it too.)

Fix: decode_endpoint keeps the address if it is valid. HTTP/1.1 goes by the host's id and is as before.

Measured: the two new cases failed before.

--- a/orchidgap/net/endpoints.py
+++ b/orchidgap/net/endpoints.py
@@ -75,15 +75,24 @@
 
 
 def decode_endpoint(host: Any) -> Endpoint:
-    """Decode the address and the state of a host."""
+    """Decode the address and the state of a host; one that has gone may have no address."""
     host_id = str(host["host"])
     state = STATES.get(host["health"], "draining")
     if state == "gone":
-        return Endpoint(host_id, state, NO_ADDRESS)
+        address = valid_address(str(host.get("dial")))
+        return Endpoint(host_id, state, address or NO_ADDRESS)
+    address = valid_address(host["dial"])
+    if address is None:
+        return Endpoint(host_id, "draining", NO_ADDRESS)
+    return Endpoint(host_id, state, address)
+
+
+def valid_address(text: str) -> Address | None:
+    """Return the address in the text, or None if it is no address."""
     try:
-        return Endpoint(host_id, state, parse_address(host["dial"]))
+        return parse_address(text)
     except ValueError:
-        return Endpoint(host_id, "draining", NO_ADDRESS)
+        return None
 
 
 def decode_entry(host: Any, endpoint: Endpoint) -> EndpointEntry:
--- a/tests/resp/test_recalled_list.py
+++ b/tests/resp/test_recalled_list.py
@@ -61,7 +61,7 @@
         self.net.turn()
 
 
-@pytest.mark.parametrize("health", ["Terminating", "Odd"])
+@pytest.mark.parametrize("health", ["Terminating", "Gone", "Odd"])
 @pytest.mark.parametrize("number", [0, 1])
 def test_a_server_that_drains_in_the_configured_list_is_sent_nothing_during_an_outage(
     number, health
