RESP: servers that drain are not asked for the slot map

Cause: the map was requested from all servers in turn, whatever their state.

Fix: from the ready ones; from the others only if none is ready, as the map is the only way to learn who took over.

--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -256,8 +256,13 @@
         self.loop.call_later(CHECK_INTERVAL_US, self.run_periodic_refresh)
 
     def map_sources(self) -> list[str]:
-        """Returns the servers to request the map from: seeds first, as others may be outdated."""
-        return sorted(self.servers, key=lambda name: (name not in self.seeds, name))
+        """Returns the servers to request the map from: seeds first, as others may be outdated.
+
+        Those that are not ready get no requests, unless there are no others.
+        """
+        names = sorted(self.servers, key=lambda name: (name not in self.seeds, name))
+        ready = [name for name in names if self.state(self.servers[name]) is READY]
+        return ready or names
 
     def refresh_map(self) -> None:
         """Requests the slot map from one server if a refresh is due and none is in progress."""
--- a/tests/resp/test_recalled_list.py
+++ b/tests/resp/test_recalled_list.py
@@ -192,6 +192,23 @@
     assert asked[:2] == [FIRST_PORT, 99]
 
 
+@pytest.mark.parametrize("number", [0, 1])
+def test_a_server_that_drains_is_not_asked_for_the_slot_map(number):
+    # Guards against new connections to servers that drain, while another one knows the map too.
+    node = RecallingNode(number, "Terminating")
+    for _ in range(600):
+        node.net.advance(100_000)
+    asked = {port for port, _ in node.net.dialled if port != DISCOVERY_PORT}
+    assert asked == {PORTS[1 - number]}
+
+
+def test_a_server_that_drains_is_asked_for_the_slot_map_if_none_is_ready():
+    # Guards against a node that never learns which servers took over from those it knows.
+    entries = [RespLoopbackHarness.host_entry(number, "Terminating") for number in (0, 1)]
+    node = RecallingNode(0, "Ready", entries=entries)
+    assert FIRST_PORT in {port for port, _ in node.net.dialled}
+
+
 def test_the_configured_list_holds_where_no_discovery_is_configured():
     # Guards against a list that is used only where discovery is called too.
     node = RecallingNode(0, "Terminating", discovery=None)
