Tests: `known` over HTTP/1.1 while discovery fails

Change: a host that drains or has gone in the configured list gets nothing for 8 s in which discovery is silent, resets, or answers a part or nonsense; then its list alone counts.

--- a/tests/http1/test_discovery.py
+++ b/tests/http1/test_discovery.py
@@ -1,12 +1,13 @@
 """Changes of the host list arrive in time, whichever discovery calls fail, hang or are malformed."""
 
 import contextlib
+import itertools
 
 import orjson
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
-from loopback_harness import LoopbackHarness, received_text
+from loopback_harness import LoopbackHarness, received_text, request_text
 
 from orchidgap.http1.discovery import (
     MAX_BACKOFF_US,
@@ -16,6 +17,7 @@
     RESPONSE_GRACE_US,
     WATCH_TIMEOUT_MS,
 )
+from orchidgap.net.endpoints import decode_list
 from orchidgap.net.node import FIRST_LIST_TIMEOUT_US
 
 LIST_DEADLINE_US = 6_000_000  # counted from when discovery has a change and is reachable
@@ -261,6 +263,32 @@
     assert readiness_status(net) == "200"
 
 
+@pytest.mark.parametrize("outcome", FAILURES)
+@pytest.mark.parametrize("health", ["Terminating", "Gone"])
+def test_a_host_that_drains_in_the_configured_list_is_sent_nothing_during_an_outage(
+    health, outcome
+):
+    # Guards against forgetting, at a start while discovery is down, which hosts drain.
+    net = DiscoveryHarness(2, listed=False, start=False)
+    hosts = [net.host_entry(0, health), net.host_entry(1), net.host_entry(9)]
+    known = decode_list({"seq": 7, "whole": True, "hosts": hosts})
+    net.node.config = net.node.config._replace(initial_endpoints=known)
+    net.node.start()
+    agent = DiscoveryAgent(net, itertools.repeat(outcome))
+    for number in range(80):
+        agent.run(100_000)
+        net.connect_client(request_text(f"k{number}"))
+        net.turn()
+        text, far = net.next_host_request()
+        assert text.startswith("GET")
+        assert [port for port, each in net.dialled if each is far] == [101]
+        net.answer_from_host(far)
+    assert len(agent.calls) > 1
+    agent.outcomes = iter(())
+    agent.run(LIST_DEADLINE_US)
+    assert net.node.balancer.hosts["c0"].state == "up", "discovery's list alone counts"
+
+
 def test_new_process_without_a_list_does_not_serve():
     net = DiscoveryHarness(2, listed=False, start=False)
     net.node.config = net.node.config._replace(initial_endpoints=(0, True, [], []))
