--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -2,7 +2,8 @@
 
 `framing`, `reader`, `values` and `writers` do no I/O. `server`, with `commands`, `local_commands`,
 `replies` and `session`, handles client connections. `client`, with `slot_server_connection` and
-`redirects`, handles connections to slot servers. `slot_discovery` keeps the slot map up to date.
+`redirects`, handles connections to slot servers. `slot_discovery` keeps the servers and their slot
+map up to date, which `slot_map_client` requests.
 """
 
 from __future__ import annotations
--- a/tests/resp/test_recalled_list.py
+++ b/tests/resp/test_recalled_list.py
@@ -192,6 +192,17 @@
     assert asked[:2] == [FIRST_PORT, 99]
 
 
+def test_a_node_without_seeds_finds_its_servers_in_the_configured_list():
+    # Guards against a node that serves nothing until discovery is back.
+    known = {"seq": 5, "whole": True, "hosts": [RespLoopbackHarness.host_entry(0)]}
+    net = RespLoopbackHarness(LONG_TIMEOUT_MS, known, listed=False, seeds=())
+    client = net.connect_client(encode_command(b"GET", keys_of_half(0)[0]))
+    net.turn()
+    [(_, far)] = net.commands(FIRST_PORT)
+    net.send_and_turn(far, b"$1\r\nv\r\n")
+    assert received_text(client) == "$1\r\nv\r\n"
+
+
 @pytest.mark.parametrize("number", [0, 1])
 def test_a_server_that_drains_is_not_asked_for_the_slot_map(number):
     # Guards against new connections to servers that drain, while another one knows the map too.
--- a/tests/resp/test_stalled_commands.py
+++ b/tests/resp/test_stalled_commands.py
@@ -52,7 +52,15 @@
     The first server answers `map_answer` to the first request for the map; by default, the map.
     """
 
-    def __init__(self, timeout_ms, known=None, listed=True, discovery=DISCOVERY, map_answer=None):
+    def __init__(
+        self,
+        timeout_ms,
+        known=None,
+        listed=True,
+        discovery=DISCOVERY,
+        map_answer=None,
+        seeds=(FIRST_PORT,),
+    ):
         self.listeners_by_port, self.dialled, self.open_sockets = {}, [], []
         self.now, self.log = 10**12, EventRecorder()
         self.loop = Loop(clock=lambda: self.now, on_error=self.log.exception)
@@ -64,7 +72,10 @@
             "known": known,
             "limits": None,
             "settings": {"rule-sets": RULES},
-            "resp": {"seeds": [f"127.0.0.1:{FIRST_PORT}"], "timeout-ms": timeout_ms},
+            "resp": {
+                "seeds": [f"127.0.0.1:{port}" for port in seeds],
+                "timeout-ms": timeout_ms,
+            },
         }
         node_config = config.config_from_document(document)
         protocol = Resp(node_config.resp, "n0", node_config.listen)
