--- a/orchidgap/net/body_arrival.py
+++ b/orchidgap/net/body_arrival.py
@@ -49,9 +49,6 @@
         self._was_drained = self._is_drained
         self.observe()
 
-    def on_bytes(self, count: int) -> None:
-        """Do nothing: the body counts its bytes."""
-
     def after_read(self, is_drained: bool) -> None:
         """Note that the connection was read; `is_drained` is whether nothing was left unread."""
         self._is_drained = is_drained
--- a/orchidgap/net/connection.py
+++ b/orchidgap/net/connection.py
@@ -53,9 +53,6 @@
     def before_read(self) -> None:
         """Called before bytes that have arrived are read."""
 
-    def on_bytes(self, count: int) -> None:
-        """Called after each read of so many bytes, before the owner handles them."""
-
     def after_read(self, is_drained: bool) -> None:
         """Called after reading; `is_drained` is whether all bytes that had arrived were read."""
 
@@ -209,8 +206,6 @@
         if not count:
             self.fail("closed")
         elif not self.closing:
-            if self.read_observer:
-                self.read_observer.on_bytes(count)
             self.owner.on_data(self.loop.buffer[:count])
         else:
             self.last_progress_us = self.loop.now
--- a/orchidgap/net/exchange.py
+++ b/orchidgap/net/exchange.py
@@ -152,7 +152,7 @@
 
     def end_arrival(self, arrival: BodyArrival, received_at_us: int) -> int:
         """Return when the body's last byte was written, which arrived at `received_at_us`."""
-        arrival.stop()
+        self.stop_following_body()
         last_byte_at_us = arrival.last_byte_at_us(received_at_us)
         if last_byte_at_us < received_at_us:
             self.node.event_log(
@@ -162,6 +162,11 @@
             )
         return last_byte_at_us
 
+    def stop_following_body(self) -> None:
+        """Stop looking at the client's connection for how far its body has arrived."""
+        if self.arrival:
+            self.arrival.stop()
+
     @property
     def time_for_answer_us(self) -> int:
         """The time from the request's last byte to its answer."""
@@ -265,8 +270,7 @@
         cancelling, so without the timer they might never settle.
         """
         self.closed = True
-        if self.arrival:
-            self.arrival.stop()
+        self.stop_following_body()
         for attempt in self.attempts:
             upload = attempt.upload
             if upload and not (
@@ -410,8 +414,7 @@
         if not self.closed:
             self.node.traffic_counts.on_request_end(RequestEnd.MIGRATED)
         self.closed = True
-        if self.arrival:
-            self.arrival.stop()
+        self.stop_following_body()
         self.streaming_attempt = None
         if self.deadline_timer:
             self.deadline_timer.cancel()
--- a/orchidgap/resp/command_arrival.py
+++ b/orchidgap/resp/command_arrival.py
@@ -34,7 +34,7 @@
 
     Attributes:
         conn: the client's connection.
-        received_bytes: bytes that were read since the start.
+        received_bytes: bytes that were read since the start, as the connection's owner counts them.
         written_at_us: the earliest time at which the bytes up to those asked for last can have been
             written.
         looks: looks at the connection that tell about later bytes, the oldest first.
@@ -102,10 +102,6 @@
         if has_rested and self.conn.timestamps_enabled and not self.backlog.is_held_back:
             self._stop()
 
-    def on_bytes(self, count: int) -> None:
-        """Counts the bytes of one read before they are handled."""
-        self.received_bytes += count
-
     def after_read(self, is_drained: bool) -> None:
         """Ends once everything was read of a client that is not held back."""
         if is_drained and not self.conn.read_paused and not self.backlog.is_held_back:
--- a/orchidgap/resp/command_scheduler.py
+++ b/orchidgap/resp/command_scheduler.py
@@ -23,7 +23,6 @@
         loop: the event loop.
         slot_owner: returns the server that owns a slot, or an empty text if it is not known.
         is_closed: the client has disconnected, and nothing more is forwarded.
-        command_count: commands so far.
         queues: replies of unanswered commands, by slot.
         delayed_by_owner: replies of commands that are delayed while an earlier one waits for the
             same server, by server, in the order of the connection.
@@ -31,7 +30,6 @@
     """
 
     __slots__ = (
-        "command_count",
         "delayed_by_owner",
         "is_closed",
         "loop",
@@ -48,7 +46,6 @@
         self.queues: dict[int, SlotQueue] = {}
         self.delayed_by_owner: dict[str, deque[Reply]] = {}
         self.waiting_by_owner: dict[str, Reply] = {}
-        self.command_count = 0
 
     def close(self) -> None:
         """Forgets all commands, as the client has disconnected."""
@@ -59,8 +56,6 @@
 
     def add(self, reply: Reply) -> None:
         """Forwards a command as soon as earlier ones permit it; see `Reply.forward`."""
-        reply.position = self.command_count
-        self.command_count += 1
         queue = self.queues.get(reply.slot)
         if queue is None:
             queue = self.queues[reply.slot] = SlotQueue()
@@ -91,7 +86,6 @@
         """Forwards a command, or delays it if an earlier one waits for the same server."""
         owner = self.slot_owner(reply.slot)
         if self.delayed_by_owner.get(owner) or self._has_waiting(owner):
-            reply.is_delayed = True
             # one that waited for an earlier command of its slot is older than some that are delayed
             insort(self.delayed_by_owner.setdefault(owner, deque()), reply, key=position_of)
         else:
@@ -123,7 +117,6 @@
 
     def _end_delay(self, reply: Reply, owner: str) -> None:
         """Forwards a command that was delayed; its slot may have moved to another server."""
-        reply.is_delayed = False
         reply.unblocked_at_us = self.loop.now
         if self.slot_owner(reply.slot) == owner:
             self._forward(reply, owner)
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -49,11 +49,10 @@
         joined: the joined reply that this one is a part of; None for a command's own reply.
         pending_request: the request while the node handles it.
         received_at_us: when the command arrived.
-        is_delayed: the command is delayed while an earlier one waits for the same server.
         unblocked_at_us: when earlier commands last stopped blocking this one.
         encoded: the encoded answer; None until the command is answered.
         part_count: number of commands that servers get for this one at the most.
-        position: position of the command among those of its connection that need a host.
+        position: number of the command among those of its connection that need a host.
         slot: slot of the key; -1 if the command needs no host.
         is_write: whether the command modifies data.
         forward: forwards the command; None once it was forwarded.
@@ -65,7 +64,6 @@
         "denied_for_us",
         "encoded",
         "forward",
-        "is_delayed",
         "is_write",
         "joined",
         "part_count",
@@ -89,7 +87,6 @@
         self.part_count = 1
         self.position = 0
         self.is_write = False
-        self.is_delayed = False
         self.forward: Callable[[], None] | None = None
         self.denied_for_us: int | None = None
 
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -192,6 +192,8 @@
     def on_data(self, view: memoryview) -> None:
         """Parses the client's bytes and handles the commands in them."""
         self.listener.idle.pop(self, None)
+        if self.arrival:
+            self.arrival.received_bytes += len(view)
         self.reader.feed(view)
         self.process_input()
 
@@ -404,6 +406,7 @@
             self.deny(reply)
             return
         self.command_count += 1
+        reply.position = self.command_count
         request_id = b"%d-%d" % (self.session.number, self.command_count)
         request_class = self.config.write_class if command.is_write else self.config.read_class
         reply.slot = slot
