--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -14,8 +14,7 @@
 import orjson
 
 from orchidgap.decisions.balancer import Balancer
-from orchidgap.decisions.host_list import ListScope
-from orchidgap.decisions.lifecycle import Lifecycle, LifecycleEvent
+from orchidgap.decisions.lifecycle import Lifecycle
 from orchidgap.decisions.repeat_safety import Idempotency, RepeatSafety
 from orchidgap.decisions.request_table import RequestTable
 from orchidgap.decisions.retry_policy import RetryPolicy, may_client_retry
@@ -29,13 +28,13 @@
 from orchidgap.net.descriptor_budget import RESERVED_DESCRIPTORS, divide_descriptors
 from orchidgap.net.dialing import dial
 from orchidgap.net.discovery import Dial, HostDiscovery
-from orchidgap.net.endpoints import Endpoint, EndpointEntry
 from orchidgap.net.event_log import EventLog
 from orchidgap.net.exchange import Exchange
 from orchidgap.net.handover.absent import NoHandover
 from orchidgap.net.handover.ports import MigratingRequest
 from orchidgap.net.loop import Loop
 from orchidgap.net.memory_pressure import MemoryPressure
+from orchidgap.net.node_host_list import NodeHostList
 from orchidgap.net.node_lifecycle import NodeLifecycle
 from orchidgap.net.rejection_log import RejectionLog
 from orchidgap.net.request_handler import Responder
@@ -83,7 +82,7 @@
         """
 
 
-class Node(NodeLifecycle, DecisionsPort):
+class Node(NodeLifecycle, NodeHostList, DecisionsPort):
     """One balancer on the network."""
 
     # settings that control decided, used in place of those of the file; None without control
@@ -120,9 +119,8 @@
         self.lifecycle = Lifecycle(loop.now, config.settings.longest_client_timeout_us)
         self.descriptor_limit = config.descriptors
         self.memory_pressure = MemoryPressure(loop, config.memory_mb)
-        # the host list as received, by host
-        self.endpoints: dict[str, tuple[EndpointEntry, Endpoint]] = {}
-        self.list_received = False  # also true once the wait for discovery has timed out
+        self.endpoints = {}
+        self.list_received = False
         self.clients = protocol.make_listener(self, INITIAL_CONNECTIONS)
         self.handover: Handover | NoHandover = NoHandover(self.clients)
         self.pools = protocol.make_pools(self, INITIAL_CONNECTIONS, dial)
@@ -261,54 +259,6 @@
             idempotency,
         )
 
-    # --- calls of discovery
-
-    def on_list(self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
-        """Apply the list of hosts, or changes to it, as discovery has told it."""
-        self.apply_list(ListScope.WHOLE if whole else ListScope.CHANGES, entries, endpoints)
-        self.end_list_wait()
-
-    def on_recalled_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> None:
-        """Apply a list that was told before this process started."""
-        self.apply_list(ListScope.RECALLED, entries, endpoints)
-
-    def apply_list(
-        self, scope: ListScope, entries: list[EndpointEntry], endpoints: list[Endpoint]
-    ) -> None:
-        """Apply a list of hosts, which may not be the one that is awaited from discovery."""
-        self.apply_endpoints(scope is not ListScope.CHANGES, entries, endpoints)
-        self.call_decisions(self.balancer.on_hosts, scope, entries)
-
-    def end_list_wait(self) -> None:
-        """Stop waiting for discovery's list, which has arrived or is overdue.
-
-        If it is overdue, the configuration's list is used.
-        """
-        self.list_received = True
-        self.check_ready()
-
-    def apply_endpoints(
-        self, whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]
-    ) -> None:
-        """Store the list for a successor process, and apply it to the connection pools."""
-        for entry in entries:
-            known = self.endpoints.get(entry.host)
-            if known and entry.started_at_us > known[0].started_at_us:
-                self.pools.drop_process(entry.host)
-        self.pools.apply_endpoints(whole, endpoints)
-        if whole:
-            self.endpoints.clear()
-        for entry, endpoint in zip(entries, endpoints):
-            host, state = entry[:2]
-            self.endpoints[host] = entry, endpoint
-            if state == "gone":
-                del self.endpoints[host]
-
-    def check_ready(self) -> None:
-        """Become ready once a host list and the state of a predecessor, if any, have arrived."""
-        if self.endpoints and self.list_received and not self.handover.awaiting_snapshot:
-            self.transition(LifecycleEvent.READY)
-
     # --- calls of exchanges
 
     def on_load_report(self, attempt: UpstreamAttempt) -> None:
@@ -364,14 +314,6 @@
         may_retry = may_client_retry(request.request_class, request.repeat_safety)
         return 503 if may_retry else 500
 
-    def export_list(self) -> list[tuple[EndpointEntry, Endpoint]]:
-        """Return the host list for a successor process."""
-        return [*self.endpoints.values(), *self.discovery.unused_endpoints()]
-
-    def restore_list(self, entries: list[EndpointEntry], endpoints: list[Endpoint]) -> bool:
-        """Use the host list of another process, unless it may be outdated; return whether."""
-        return self.discovery.restore_list(entries, endpoints)
-
     @property
     def has_warm_state(self) -> bool:
         """Whether the decisions of this node can export and restore a snapshot."""
