RESP: commands that wait are bounded by their own size

Cause: commands without a reply are bounded by number and by the expected size of their replies. A large write has a short reply, so up to 1,024 of 15 KB were read from each client while its server was slow.

Fix: OutstandingReplies counts the bytes of commands without an answer: 256 KB for each client, 16 KB while memory is short.

--- a/orchidgap/net/memory_pressure.py
+++ b/orchidgap/net/memory_pressure.py
@@ -14,7 +14,7 @@
 
 BYTES_PER_MB = 1 << 20
 SHORT_ABOVE_RATIO = 0.7  # of the limit
-SHORT_BUFFER_BYTES = 1 << 14  # what may be buffered of one body while memory is short
+SHORT_BUFFER_BYTES = 1 << 14  # what may be buffered of one kind while memory is short
 CHECK_INTERVAL_US = 1_000_000  # how often a change is looked for to be reported
 REFRESH_US = 5_000  # how long one look at the resident size is used
 RESIDENT_PAGES_FIELD = 1  # in /proc/self/statm
@@ -68,6 +68,12 @@
         """Return how much of one body may be buffered, where it is `usual_bytes` by default."""
         return min(usual_bytes, SHORT_BUFFER_BYTES) if self.is_short else usual_bytes
 
+    def permits(self, buffered_bytes: int, usual_bytes: int) -> bool:
+        """Return whether so much may be buffered, where `usual_bytes` may be by default."""
+        if buffered_bytes <= SHORT_BUFFER_BYTES:
+            return True  # without a look at the memory
+        return buffered_bytes <= self.buffer_bytes(usual_bytes)
+
     @property
     def is_short(self) -> bool:
         """Whether the process uses so much that buffers have to be small."""
--- a/orchidgap/resp/outstanding_replies.py
+++ b/orchidgap/resp/outstanding_replies.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 
+from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.resp.replies import Reply
 
 # Most commands, and parts of such, whose replies are not written yet; one more command is accepted
@@ -12,6 +13,7 @@
 MAX_EXPECTED_BYTES = 1 << 20  # limit for the expected size of all outstanding replies
 # Initial estimate of a reply's size: few commands are accepted until replies have been measured.
 FIRST_REPLY_BYTES = MAX_EXPECTED_BYTES // 16
+MAX_COMMAND_BYTES = 1 << 18  # limit for the size of the commands without an answer
 REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
 
 
@@ -21,15 +23,17 @@
     Attributes:
         replies: the replies.
         part_count: outstanding commands, counting each part of a split one.
+        command_bytes: size of the outstanding commands that servers get and have not answered.
         smoothed_reply_bytes: moving average of the reply size.
     """
 
-    __slots__ = ("part_count", "replies", "smoothed_reply_bytes")
+    __slots__ = ("command_bytes", "part_count", "replies", "smoothed_reply_bytes")
 
     def __init__(self) -> None:
         """Starts without replies."""
         self.replies: deque[Reply] = deque()
         self.part_count = 0
+        self.command_bytes = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
 
     def add(self, reply: Reply) -> None:
@@ -42,10 +46,23 @@
         self.part_count -= self.replies.pop().part_count
         self.add(reply)
 
-    def is_full(self) -> bool:
-        """Returns whether the limits are reached."""
+    def on_forwarded(self, reply: Reply) -> None:
+        """Counts a command, or a part of one, that a server gets."""
+        self.command_bytes += reply.command_bytes
+
+    def on_answered(self, reply: Reply) -> None:
+        """Stops counting a command, or a part of one, that was answered."""
+        self.command_bytes -= reply.command_bytes
+        reply.command_bytes = 0
+
+    def is_full(self, memory_pressure: MemoryPressure) -> bool:
+        """Returns whether a limit is reached; that of `command_bytes` depends on the memory."""
         expected_bytes = len(self.replies) * self.smoothed_reply_bytes
-        return self.part_count >= MAX_OUTSTANDING_PARTS or expected_bytes > MAX_EXPECTED_BYTES
+        return (
+            self.part_count >= MAX_OUTSTANDING_PARTS
+            or expected_bytes > MAX_EXPECTED_BYTES
+            or not memory_pressure.permits(self.command_bytes, MAX_COMMAND_BYTES)
+        )
 
     def take_ready(self) -> list[bytes]:
         """Removes the replies up to the first unanswered command, and returns them encoded."""
--- a/orchidgap/resp/replies.py
+++ b/orchidgap/resp/replies.py
@@ -52,6 +52,7 @@
         received_at_us: when the command arrived.
         unblocked_at_us: when earlier commands last stopped blocking this one.
         encoded: the encoded answer; None until the command is answered.
+        command_bytes: size of the command while a server is to answer it.
         part_count: number of commands that servers get for this one at the most.
         position: number of the command among those of its connection that need a host.
         slot: slot of the key; -1 if the command needs no host.
@@ -62,6 +63,7 @@
     """
 
     __slots__ = (
+        "command_bytes",
         "denied_for_us",
         "encoded",
         "forward",
@@ -86,6 +88,7 @@
         self.unblocked_at_us = queue.capacity_freed_at_us
         self.slot = -1
         self.part_count = 1
+        self.command_bytes = 0
         self.position = 0
         self.is_write = False
         self.forward: Callable[[], None] | None = None
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -193,6 +193,7 @@
 
     def on_forwarded_reply(self, reply: Reply) -> None:
         """Lets the commands be forwarded that the answered one has blocked."""
+        self.outstanding.on_answered(reply)
         self.scheduler.on_answered(reply)
 
     # --- commands
@@ -245,7 +246,7 @@
             self.pause_commands()
             self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_write_buffer)
             return True
-        if self.outstanding.is_full():
+        if self.outstanding.is_full(self.listener.handler.memory_pressure):
             self.pause_commands()
             return True
         return False
@@ -434,6 +435,9 @@
         reply.position = self.command_count
         request_id = b"%d-%d" % (self.session.number, self.command_count)
         request_class = self.config.write_class if command.is_write else self.config.read_class
+        encoded = encode_command(*words)
+        reply.command_bytes = len(encoded)
+        self.outstanding.on_forwarded(reply)
         reply.slot = slot
         reply.is_write = command.is_write
         reply.forward = partial(
@@ -445,7 +449,7 @@
             command.is_write,
             key,
             self.session.tenant,
-            encode_command(*words),
+            encoded,
             b"",
             slot,
             idempotency=command.idempotency,
--- a/tests/resp/test_resp_memory.py
+++ b/tests/resp/test_resp_memory.py
@@ -114,3 +114,36 @@
     else:
         assert client.send(command[400_000:]) == b"+OK\r\n"
     assert bool(cluster.received_commands(b"SET")) != is_refused
+
+
+@pytest.mark.parametrize(("used_mb", "most"), [(100, 20), (180, 2)])
+def test_commands_that_wait_are_bounded_by_their_size(used_mb, most):
+    # A client that pipelines large values was read up to 1,024 commands ahead of its server.
+    cluster = RespCluster()
+    cluster.node.memory_pressure.limit_mb = 200
+    cluster.node.memory_pressure.measure = lambda: used_mb << 20
+    client = Client(cluster)
+    for _ in range(100):  # replies are known to be short
+        client.call(b"SET", b"k", b"v", wait_us=2_000)
+    for server in cluster.servers:
+        server.latency_us = 30_000
+    commands = [encode_command(b"SET", b"k%d" % number, b"v" * 15_000) for number in range(60)]
+    client.send(b"".join(commands), wait_us=1_000)
+    [connection] = cluster.node.clients.open_clients
+    assert 0 < connection.requests_read - 100 <= most
+    assert connection.outstanding.command_bytes <= most * (15_000 + 100)
+    replies = client.take_replies(wait_us=3_000_000)
+    assert replies.count(b"+OK\r\n") + replies.count(b"-TRYAGAIN") == len(commands)
+    assert connection.outstanding.command_bytes == 0
+
+
+def test_a_split_command_that_was_answered_counts_no_more():
+    cluster = RespCluster(latency_us=10_000)
+    client = Client(cluster)
+    keys = [b"k%d" % number for number in range(300)]
+    client.call(b"MGET", *keys, wait_us=0)
+    cluster.advance(2_000)
+    [connection] = cluster.node.clients.open_clients
+    assert connection.outstanding.command_bytes > sum(map(len, keys))
+    cluster.advance(3_000_000)
+    assert connection.outstanding.command_bytes == 0 and not connection.outstanding.replies
