RESP: replies of all clients together are bounded

Cause: expected replies and unread ones were bounded for each client, at 1 MB each, and not for all.

Fix: ReplyBudget counts both for all clients; above an eighth of the memory limit only clients that hold hardly anything are read. A client that waits for its buffer has one timer, not one more for each reply.

--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -22,6 +22,7 @@
 from orchidgap.resp.client import SlotServerConnectionPools
 from orchidgap.resp.config import RespConfig
 from orchidgap.resp.redirects import Redirect
+from orchidgap.resp.reply_budget import ReplyBudget
 from orchidgap.resp.server import RespClientConnection
 from orchidgap.resp.slot_discovery import SlotDiscovery
 
@@ -44,9 +45,13 @@
     def make_listener(self, node: Node, max_clients: int) -> ClientListener:
         """Returns the listener for clients, with at most `max_clients` connections."""
 
+        reply_budget = ReplyBudget(node.loop, node.memory_pressure)
+
         def make(listener: ClientListener, sock: socket.socket) -> RespClientConnection:
             self.connection_count += 1
-            return RespClientConnection(listener, sock, self.config, self.connection_count)
+            return RespClientConnection(
+                listener, sock, self.config, self.connection_count, reply_budget
+            )
 
         return ClientListener(node.loop, node, max_clients, make)
 
--- a/orchidgap/resp/outstanding_replies.py
+++ b/orchidgap/resp/outstanding_replies.py
@@ -6,13 +6,13 @@
 
 from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.resp.replies import Reply
+from orchidgap.resp.reply_budget import MAX_HELD_BYTES
 
 # Most commands, and parts of such, whose replies are not written yet; one more command is accepted
 # below that, however many parts it has.
 MAX_OUTSTANDING_PARTS = 1_024
-MAX_EXPECTED_BYTES = 1 << 20  # limit for the expected size of all outstanding replies
 # Initial estimate of a reply's size: few commands are accepted until replies have been measured.
-FIRST_REPLY_BYTES = MAX_EXPECTED_BYTES // 16
+FIRST_REPLY_BYTES = MAX_HELD_BYTES // 16
 MAX_COMMAND_BYTES = 1 << 18  # limit for the size of the commands without an answer
 REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
 
@@ -57,13 +57,14 @@
 
     def is_full(self, memory_pressure: MemoryPressure) -> bool:
         """Returns whether a limit is reached; that of `command_bytes` depends on the memory."""
-        expected_bytes = len(self.replies) * self.smoothed_reply_bytes
-        return (
-            self.part_count >= MAX_OUTSTANDING_PARTS
-            or expected_bytes > MAX_EXPECTED_BYTES
-            or not memory_pressure.permits(self.command_bytes, MAX_COMMAND_BYTES)
+        return self.part_count >= MAX_OUTSTANDING_PARTS or not memory_pressure.permits(
+            self.command_bytes, MAX_COMMAND_BYTES
         )
 
+    def expected_bytes(self) -> int:
+        """Returns the expected size of all outstanding replies."""
+        return len(self.replies) * self.smoothed_reply_bytes
+
     def take_ready(self) -> list[bytes]:
         """Removes the replies up to the first unanswered command, and returns them encoded."""
         ready = []
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -10,7 +10,9 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Collection
 from functools import partial
+from typing import cast
 
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
@@ -24,12 +26,12 @@
 from orchidgap.resp.outstanding_replies import OutstandingReplies
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.replies import Reply
+from orchidgap.resp.reply_budget import ReplyBudget
 from orchidgap.resp.session import Session
 from orchidgap.resp.split_command import SplitCommand
 from orchidgap.resp.writers import encode_bulk, encode_command, encode_error
 
-MAX_WRITE_BUFFER_BYTES = 1 << 20  # of one connection; above that no commands are read
-WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether a client reads its replies again
+WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether clients read their replies again
 MAX_HANDLING_US = 5_000  # after which a client's received commands go on in the next turn
 MAX_SHOWN_BYTES = 60  # length limit of a command name in an error reply
 MAX_FINAL_READS = 16  # reads before a connection ends, so that a flood cannot prevent the end
@@ -56,6 +58,8 @@
         capacity_freed_at_us: when written replies last freed capacity for further commands.
         command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
+        reply_budget: what the replies of all clients may take.
+        is_check_due: a look at whether clients have read enough is scheduled.
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
             connection ends once the outstanding replies are written.
         goes_on_next_turn: received commands are left to be handled in the next turn of the loop.
@@ -72,18 +76,27 @@
         "goes_on_next_turn",
         "has_last_command",
         "holds_replies",
+        "is_check_due",
         "is_ending",
         "outstanding",
         "reader",
+        "reply_budget",
         "scheduler",
         "session",
         "split",
     )
 
     def __init__(
-        self, listener: ClientListener, sock: socket.socket, config: RespConfig, number: int
+        self,
+        listener: ClientListener,
+        sock: socket.socket,
+        config: RespConfig,
+        number: int,
+        reply_budget: ReplyBudget,
     ) -> None:
         """Starts on an accepted socket; `number` identifies the connection."""
+        self.reply_budget = reply_budget
+        self.is_check_due = False
         self.arrival: CommandArrival | None = None
         self.config = config
         self.session = Session(config, number)
@@ -241,10 +254,11 @@
         if self.has_last_command:
             self.conn.pause_reading(True)
             return True
-        if len(self.conn.write_buffer) > MAX_WRITE_BUFFER_BYTES:
-            # No event reports that the client reads again, so the buffer is polled.
+        clients = cast(Collection[RespClientConnection], self.listener.open_clients)
+        if not self.reply_budget.permits(self.held_reply_bytes(), clients):
+            # No event reports that clients read again, so their buffers are polled.
             self.pause_commands()
-            self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_write_buffer)
+            self.schedule_check()
             return True
         if self.outstanding.is_full(self.listener.handler.memory_pressure):
             self.pause_commands()
@@ -348,8 +362,19 @@
         """Returns whether a partial command is buffered or the socket has unread bytes."""
         return bool(self.reader.unread_bytes()) or self.conn.has_unread_bytes()
 
-    def check_write_buffer(self) -> None:
-        """Resumes processing if the client has read enough of the written replies."""
+    def held_reply_bytes(self) -> int:
+        """Returns the size of the replies that are expected, or that the client has not read."""
+        return self.outstanding.expected_bytes() + len(self.conn.write_buffer)
+
+    def schedule_check(self) -> None:
+        """Schedules a look at whether clients have read enough, unless one is due."""
+        if not self.is_check_due:
+            self.is_check_due = True
+            self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_replies)
+
+    def check_replies(self) -> None:
+        """Resumes processing if clients have read enough of their replies."""
+        self.is_check_due = False
         if self.conn.is_open and self.conn.read_paused:
             self.process_input()
 
@@ -380,6 +405,7 @@
         """Returns the reply to a command that was read, which is outstanding from now on."""
         reply = Reply(self)
         self.outstanding.add(reply)
+        self.reply_budget.on_accepted(self.outstanding.smoothed_reply_bytes)
         return reply
 
     def run_local(self, name: bytes, words: list[bytes]) -> bytes | None:
