RESP: origins are not handed over as slot servers

After an upgrade the new process counted an origin that discovery lists as ready among its slot servers, and could request the slot map from it, until the first map had come.

Fix: origins do not enter the states of servers; the servers of a list are found in the same pass.

Measured: the new test failed before.

--- a/orchidgap/resp/slot_discovery.py
+++ b/orchidgap/resp/slot_discovery.py
@@ -132,7 +132,10 @@
     def record_list(
         self, is_whole: bool, entries: list[EndpointEntry], endpoints: list[Endpoint]
     ) -> None:
-        """Records the states in a list, and the servers that it lists as ready."""
+        """Records the states of servers in a list, and those that it lists as ready.
+
+        Origins are no slot servers.
+        """
         listed = [
             ListedHost(
                 entry.host,
@@ -141,11 +144,12 @@
                 entry.started_at_us,
             )
             for entry, (_, _, address) in zip(entries, endpoints)
+            if entry.kind != ORIGIN_KIND
         ]
         self.listed.apply_list(listed, is_whole=is_whole)
-        for entry, (_, state, address) in zip(entries, endpoints):
-            if state == READY and entry.kind != ORIGIN_KIND:
-                self.servers.setdefault(format_address(address), address)
+        for server in listed:
+            if server.state is READY and server.address:
+                self.servers.setdefault(format_address(server.address), server.address)
 
     def state(self, address: Address) -> HostStatus:
         """Returns the state of the server at an address.
--- a/tests/resp/test_slot_discovery.py
+++ b/tests/resp/test_slot_discovery.py
@@ -218,3 +218,15 @@
     new.connect_client(encode_command(b"GET", keys_of_half(0)[0]))
     new.turn()
     assert bool(new.commands(FIRST_PORT)) == (old == "Ready")
+
+
+def test_a_new_process_does_not_take_an_origin_for_a_slot_server():
+    # Guards against the slot map being requested from an origin that the old process had listed.
+    old, new = (RespLoopbackHarness(LONG_TIMEOUT_MS, listed=False) for _ in range(2))
+    entries = [RespLoopbackHarness.host_entry(number) for number in (0, 1, 9)]
+    push_host_list(old, 41, True, entries)
+    hand_over(old, new)
+    assert set(new.node.discovery.servers) == {
+        f"127.0.0.1:{FIRST_PORT}",
+        f"127.0.0.1:{SECOND_PORT}",
+    }
