Fault test: a majority of control counts only if it can settle a value

Cause: in the check. It counted control processes that run and whose links are open.

Change: fault_tests/control_quorum: all members of the majority run, listen (or have had 10 s for it), and have room on their disks; the balancer reaches each, and one of them reaches each.

--- a/orchidgap/fault_tests/breach_report.py
+++ b/orchidgap/fault_tests/breach_report.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 from operator import itemgetter
 from pathlib import Path
@@ -15,6 +15,8 @@
 WINDOW_S = 2.0  # length of the window before a breach, and of the one after it
 MAX_DETAILED_BREACHES = 3
 MAX_LINES = 60  # limit for one breach; the lines nearest to it in time are shown
+MAX_EARLIER_FAULTS = 20  # limit for one breach; the last ones before the window are shown
+TEST_PROCESS_FAULT = "the fault test itself"
 
 
 class LogLine(NamedTuple):
@@ -70,6 +72,7 @@
     descriptions = [
         f"{rule} at {at_s:.3f} s: {text}\n"
         + scheduling_at(at_s)
+        + _earlier_faults(checker.events, at_s)
         + _lines_around(lines, start_s, at_s)
         for rule, at_s, text in checker.breaches[:MAX_DETAILED_BREACHES]
     ]
@@ -80,6 +83,16 @@
     return "".join(descriptions)
 
 
+def _earlier_faults(events: Iterable[tuple[float, str]], at_s: float) -> str:
+    """Return a line with the plan's last faults before the window, empty if there are none."""
+    faults = [
+        f"{fault_s:.3f} {text}"
+        for fault_s, text in events
+        if fault_s < at_s - WINDOW_S and not text.startswith(TEST_PROCESS_FAULT)
+    ]
+    return f"  earlier: {'; '.join(faults[-MAX_EARLIER_FAULTS:])}\n" if faults else ""
+
+
 def _lines_around(lines: list[LogLine], start_s: float, at_s: float) -> str:
     """Return the log lines within the window, each with its seconds since the start."""
     breach_s = start_s + at_s
--- a/orchidgap/fault_tests/cluster.py
+++ b/orchidgap/fault_tests/cluster.py
@@ -16,11 +16,11 @@
 
 from orchidgap.control.messages.base import AnswerT, RequestT, RpcMethod
 from orchidgap.control.rpc_client import RpcClient
-from orchidgap.decisions.cas_register import quorum_size
 from orchidgap.fault_tests import disk_faults
 from orchidgap.fault_tests.balancer_process import ClusterBalancer
 from orchidgap.fault_tests.child_processes import PortOffset, ProcessLauncher, memory_folder
 from orchidgap.fault_tests.control_process import ControlProcess
+from orchidgap.fault_tests.control_quorum import ControlQuorum
 from orchidgap.fault_tests.links import OPERATOR, Link, Links, Topology
 from orchidgap.fault_tests.majority_watch import STOPPED_STATE, MajorityWatch, process_state
 from orchidgap.fault_tests.plan import COMMON_CLASS, FaultTest, ProposalOutcome, class_of_version
@@ -53,8 +53,6 @@
 # how long a balancer may deny after it reaches control: some leases and one change may pass
 GRACE_LEASES = 3
 GRACE_EXTRA_MS = 1_000
-# maximum one-way delay; heartbeats time out if the delay is longer
-MAX_HEARTBEAT_DELAY_US = 200_000
 # how long a proposer waits, as a multiple of the time after which control gives up
 PROPOSER_WAIT_RATIO = 1.2
 
@@ -65,6 +63,7 @@
     Attributes:
         test: The plan.
         controls: The control processes.
+        control_quorum: Tells which balancers reach a majority of control now.
         majority_watch: Records which balancers reached a majority of the control processes, and
             when.
         links: The relays between processes.
@@ -106,6 +105,7 @@
             ControlProcess(self.launcher, self.links, test.control, number)
             for number in range(test.control.count)
         ]
+        self.control_quorum = ControlQuorum(self.controls, self.links, self.directory, self._runs)
         control = test.control
         grace_ms = GRACE_LEASES * control.lease_ms + control.give_up_ms + GRACE_EXTRA_MS
         self.majority_watch = MajorityWatch(milliseconds_to_us(grace_ms))
@@ -380,18 +380,12 @@
         return self.scheduling.delay_us(balancer, since_us, until_us)
 
     def _reaching_majority(self) -> list[str]:
-        """Return the running balancers that reach a majority of running control processes."""
-        running = [control.name for control in self.controls if self._runs(control.name)]
-        quorum = quorum_size(len(self.controls))
+        """Return the running balancers that reach a majority of control that can settle a value."""
+        working = self.control_quorum.working(self.loop.now)
         return [
             name
             for name, instance in self.balancers.items()
-            if instance.alive
-            and sum(
-                self.links.is_open(name, control, MAX_HEARTBEAT_DELAY_US) for control in running
-            )
-            >= quorum
-            and self._runs(name)
+            if instance.alive and self.control_quorum.is_reached(name, working) and self._runs(name)
         ]
 
     def _runs(self, name: str) -> bool:
--- a/orchidgap/fault_tests/control_process.py
+++ b/orchidgap/fault_tests/control_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import subprocess
 from contextlib import suppress
 
@@ -12,6 +13,10 @@
 from orchidgap.fault_tests.plan import ControlSettings
 from orchidgap.net.addresses import Address, format_address
 
+# a process that has not listened for this long after its start counts as if it did
+START_LIMIT_US = 10_000_000
+CONNECT_TIMEOUT_S = 0.05
+
 
 class ControlProcess:
     """A control process; its program may end and be restarted.
@@ -34,6 +39,8 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.starts_new = True
         self.alive = False
+        self._start_seen_at_us: int | None = None
+        self._listens = False
 
     def address_for(self, client: str) -> Address:
         """Return the address at which a client reaches this process."""
@@ -62,6 +69,23 @@
         command = [*self.launcher.command("control"), f"--config={path}", *options]
         self.process = self.launcher.start(self.name, command)
         self.alive = True
+        self._start_seen_at_us = None
+        self._listens = False
+
+    def is_listening(self, now_us: int) -> bool:
+        """Return whether the process has listened since its start, or ought to have by now."""
+        if self._start_seen_at_us is None:
+            self._start_seen_at_us = now_us
+        if not self._listens:
+            self._listens = self._accepts_connection()
+        return self._listens or now_us - self._start_seen_at_us >= START_LIMIT_US
+
+    def _accepts_connection(self) -> bool:
+        try:
+            with socket.create_connection(self.address, CONNECT_TIMEOUT_S):
+                return True
+        except OSError:
+            return False
 
     def has_ended(self) -> bool:
         """Return whether the process has ended or was never started."""
--- a/orchidgap/fault_tests/disk_faults.py
+++ b/orchidgap/fault_tests/disk_faults.py
@@ -39,6 +39,11 @@
         path.symlink_to(DEVICE_WITHOUT_ROOM)
 
 
+def is_full(disk: Path) -> bool:
+    """Return whether the disk was filled and not freed since."""
+    return any(path.is_symlink() for path in _temporary_files(disk))
+
+
 def free(disk: Path) -> None:
     """Free disk space again."""
     for path in _temporary_files(disk):
--- a/tests/fault_tests/test_breach_report.py
+++ b/tests/fault_tests/test_breach_report.py
@@ -41,6 +41,20 @@
     )
 
 
+def test_a_breach_names_the_faults_that_began_long_before_it(tmp_path):
+    checker = InvariantChecker(plan=read_plan(tmp_path).plan, start=0)
+    checker.record_event(1_000_000, "full k1")
+    checker.record_event(1_500_000, "the fault test itself was 300 ms late")
+    checker.record_event(2_000_000, "cut all k2")
+    checker.record_event(18_000_000, "mend")
+    checker.record_breach("late", 19_000_000, "r1: late")
+    assert describe_breaches(checker, tmp_path) == (
+        "late at 19.000 s: r1: late\n"
+        "  earlier: 1.000 full k1; 2.000 cut all k2\n"
+        "     18.000 fault: mend\n"
+    )
+
+
 def test_the_files_of_a_broken_run_are_kept_and_their_folder_is_reported(tmp_path, capsys):
     verdict, _ = run_fault_test(read_plan(tmp_path))
     assert verdict["verdict"] == "broken"
