--- a/orchidgap/fault_tests/conditions.py
+++ b/orchidgap/fault_tests/conditions.py
@@ -37,6 +37,8 @@
                 return self._is_logged(*arguments)
             case ConditionKind.PROCESS_ENDED:
                 return cluster.process_of(arguments[0]).poll() is not None
+            case ConditionKind.REQUESTS_WRITTEN:
+                return self._written_count(arguments[0]) >= int(arguments[1])
             case _:
                 return self._is_answered(condition, since_us)
 
@@ -51,6 +53,11 @@
         names = [name for name in self.cluster.process_names() if process in (name, ANY_PROCESS)]
         return any(event in self.cluster.logs.new_events(name) for name in names)
 
+    def _written_count(self, balancer: str) -> int:
+        """Return how many requests clients have written to a balancer so far."""
+        attempts = self.cluster.invariant_checker.client_attempts.values()
+        return sum(attempt.balancer == balancer for attempt in attempts)
+
     def _is_answered(self, condition: Condition, since_us: int) -> bool:
         arguments = condition.arguments
         if condition.kind is ConditionKind.SERVES_VERSION:
--- a/orchidgap/fault_tests/plan.py
+++ b/orchidgap/fault_tests/plan.py
@@ -51,6 +51,7 @@
     DENIES = "denies"
     VERSION_SEEN = "takes"
     PROCESS_ENDED = "gone"
+    REQUESTS_WRITTEN = "written"
 
 
 class ActionKind(Enum):
@@ -107,6 +108,7 @@
     ConditionKind.DENIES: (1, 1),
     ConditionKind.VERSION_SEEN: (1, 1),
     ConditionKind.PROCESS_ENDED: (1, 1),
+    ConditionKind.REQUESTS_WRITTEN: (2, 2),
 }
 ACTION_ARGUMENTS: dict[ActionKind, ArgumentCounts] = {
     ActionKind.NOTHING: (0, 0),
