RESP: a command is accepted only while there is room for its reply

Cause: each client that held 16 KB or less could always have one more reply. 24 MB are used before there are clients, 27 to 28 MB with 183 of them and no replies (sampled in a scratch copy); one reply of 60 KB each is 10 MB. With four crowds the kernel takes less of them, so they stay in the process.

A reply has to fit, the first one too; small ones have room of their own. Who holds nothing waits in a queue, a quarter of the command's time at most, and is denied then. Nobody else gets more while it waits. The average size of replies counts the first ones fully.

--- a/orchidgap/net/memory_pressure.py
+++ b/orchidgap/net/memory_pressure.py
@@ -1,8 +1,8 @@
 """How near the process is to its memory limit, by the resident size that the kernel reports.
 
-Buffers are bounded for each connection. Their sum is not counted: what objects, fragmentation and
-libraries take besides would have to be estimated. While memory is short, bodies are streamed from
-a smaller size on, so that a connection holds less.
+Buffers are bounded for each connection, and those of RESP clients for all together
+(`memory_account`). What objects, fragmentation and libraries take besides shows here only. While
+memory is short, bodies are streamed from a smaller size on, so that a connection holds less.
 """
 
 from __future__ import annotations
@@ -36,6 +36,7 @@
     Attributes:
         limit_mb: The memory that the process may use.
         measure: Returns the memory in use in bytes; without it, memory is never short.
+        initial_bytes: The memory in use when it was first measured, before there were clients.
     """
 
     def __init__(self, loop: Loop, limit_mb: int) -> None:
@@ -43,6 +44,7 @@
         self.loop = loop
         self.limit_mb = limit_mb
         self.measure: Callable[[], int] | None = None
+        self.initial_bytes = 0
         self._measured_at_us: int | None = None
         self._used_bytes = 0
         self._reported_short = False
@@ -55,6 +57,7 @@
         `on_change` is called with whether it is short, the MB in use, and the limit in MB.
         """
         self.measure = measure
+        self.initial_bytes = measure()
         self._report_change(on_change)
 
     def _report_change(self, on_change: Callable[[bool, int, int], None]) -> None:
--- a/orchidgap/net/node.py
+++ b/orchidgap/net/node.py
@@ -33,6 +33,7 @@
 from orchidgap.net.handover.absent import NoHandover
 from orchidgap.net.handover.ports import MigratingRequest
 from orchidgap.net.loop import Loop
+from orchidgap.net.memory_account import MemoryAccount
 from orchidgap.net.memory_pressure import MemoryPressure
 from orchidgap.net.node_host_list import NodeHostList
 from orchidgap.net.node_lifecycle import NodeLifecycle
@@ -119,6 +120,7 @@
         self.lifecycle = Lifecycle(loop.now, config.settings.longest_client_timeout_us)
         self.descriptor_limit = config.descriptors
         self.memory_pressure = MemoryPressure(loop, config.memory_mb)
+        self.memory_account = MemoryAccount(self.memory_pressure)
         self.endpoints = {}
         self.list_received = False
         self.clients = protocol.make_listener(self, INITIAL_CONNECTIONS)
--- a/orchidgap/resp/__init__.py
+++ b/orchidgap/resp/__init__.py
@@ -45,7 +45,7 @@
     def make_listener(self, node: Node, max_clients: int) -> ClientListener:
         """Returns the listener for clients, with at most `max_clients` connections."""
 
-        reply_budget = ReplyBudget(node.loop, node.memory_pressure)
+        reply_budget = ReplyBudget(node.loop, node.memory_account)
 
         def make(listener: ClientListener, sock: socket.socket) -> RespClientConnection:
             self.connection_count += 1
--- a/orchidgap/resp/outstanding_replies.py
+++ b/orchidgap/resp/outstanding_replies.py
@@ -14,7 +14,9 @@
 # Initial estimate of a reply's size: few commands are accepted until replies have been measured.
 FIRST_REPLY_BYTES = MAX_HELD_BYTES // 16
 MAX_COMMAND_BYTES = 1 << 18  # limit for the size of the commands without an answer
-REPLY_SIZE_SMOOTHING = 8  # a new reply's share in the average size is 1 / this
+# A new reply's share in the average size is 1 / this; more for the first replies, so that the
+# initial estimate soon has no part in it.
+REPLY_SIZE_SMOOTHING = 8
 
 
 class OutstandingReplies:
@@ -25,9 +27,16 @@
         part_count: outstanding commands, counting each part of a split one.
         command_bytes: size of the outstanding commands that servers get and have not answered.
         smoothed_reply_bytes: moving average of the reply size.
+        measured_count: how many replies are in the average, up to `REPLY_SIZE_SMOOTHING` - 1.
     """
 
-    __slots__ = ("command_bytes", "part_count", "replies", "smoothed_reply_bytes")
+    __slots__ = (
+        "command_bytes",
+        "measured_count",
+        "part_count",
+        "replies",
+        "smoothed_reply_bytes",
+    )
 
     def __init__(self) -> None:
         """Starts without replies."""
@@ -35,6 +44,7 @@
         self.part_count = 0
         self.command_bytes = 0
         self.smoothed_reply_bytes = FIRST_REPLY_BYTES
+        self.measured_count = 0
 
     def add(self, reply: Reply) -> None:
         """Adds the reply to the command that was read last."""
@@ -73,6 +83,13 @@
             self.part_count -= reply.part_count
             encoded = reply.take_encoded()
             ready.append(encoded)
-            difference = len(encoded) - self.smoothed_reply_bytes
-            self.smoothed_reply_bytes += difference // REPLY_SIZE_SMOOTHING
+            if reply.denied_for_us is None:  # a denial tells nothing of the size of answers
+                self._measure(len(encoded))
         return ready
+
+    def _measure(self, reply_bytes: int) -> None:
+        """Adds a reply's size to the average."""
+        if self.measured_count < REPLY_SIZE_SMOOTHING - 1:
+            self.measured_count += 1
+        difference = reply_bytes - self.smoothed_reply_bytes
+        self.smoothed_reply_bytes += difference // (self.measured_count + 1)
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -10,9 +10,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Collection
 from functools import partial
-from typing import cast
 
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
@@ -26,6 +24,7 @@
 from orchidgap.resp.outstanding_replies import OutstandingReplies
 from orchidgap.resp.reader import RespReader
 from orchidgap.resp.replies import Reply
+from orchidgap.resp.reply_admission import Admission, ReplyAdmission
 from orchidgap.resp.reply_budget import ReplyBudget
 from orchidgap.resp.session import Session
 from orchidgap.resp.split_command import SplitCommand
@@ -58,7 +57,8 @@
         capacity_freed_at_us: when written replies last freed capacity for further commands.
         command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
-        reply_budget: what the replies of all clients may take.
+        admission: decides by the memory whether the next command is accepted.
+        denies_commands: commands are denied, as there is no memory for their replies.
         is_check_due: a look at whether clients have read enough is scheduled.
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
             connection ends once the outstanding replies are written.
@@ -69,10 +69,12 @@
     """
 
     __slots__ = (
+        "admission",
         "arrival",
         "capacity_freed_at_us",
         "command_count",
         "config",
+        "denies_commands",
         "goes_on_next_turn",
         "has_last_command",
         "holds_replies",
@@ -80,7 +82,6 @@
         "is_ending",
         "outstanding",
         "reader",
-        "reply_budget",
         "scheduler",
         "session",
         "split",
@@ -95,7 +96,8 @@
         reply_budget: ReplyBudget,
     ) -> None:
         """Starts on an accepted socket; `number` identifies the connection."""
-        self.reply_budget = reply_budget
+        self.admission = ReplyAdmission(self, reply_budget, config.timeout_us)
+        self.denies_commands = False
         self.is_check_due = False
         self.arrival: CommandArrival | None = None
         self.config = config
@@ -111,6 +113,7 @@
         self.is_ending = False
         self.split: SplitCommand | None = None
         super().__init__(listener, sock)
+        self.conn.on_drained = self.on_replies_read
 
     # --- called by the listener
 
@@ -136,6 +139,7 @@
         """Discards the client's commands after it has disconnected."""
         replies = self.outstanding.replies
         self.outstanding = OutstandingReplies()
+        self.admission.close()
         self.split = None
         self.scheduler.close()
         for reply in replies:
@@ -191,6 +195,7 @@
         self.requests_answered += len(ready)
         if ready and self.conn.is_open:
             self.conn.send(b"".join(ready))
+        self.book_memory()
         if self.has_last_command:
             self.finish_after_last_command()
             return
@@ -224,8 +229,12 @@
 
         Goes on in the next turn if that takes long, so that other connections are served.
         """
-        if self.goes_on_next_turn:
-            return
+        if not self.goes_on_next_turn:
+            self.handle_input()
+            self.book_memory()
+
+    def handle_input(self) -> None:
+        """Handles received commands; called by `process_input` only."""
         handle_until_us = self.listener.loop.clock() + MAX_HANDLING_US
         self.forward_parts(handle_until_us)
         while self.conn.is_open and not self.conn.closing:
@@ -254,8 +263,7 @@
         if self.has_last_command:
             self.conn.pause_reading(True)
             return True
-        clients = cast(Collection[RespClientConnection], self.listener.open_clients)
-        if not self.reply_budget.permits(self.held_reply_bytes(), clients):
+        if self.has_to_wait_for_memory():
             # No event reports that clients read again, so their buffers are polled.
             self.pause_commands()
             self.schedule_check()
@@ -265,6 +273,29 @@
             return True
         return False
 
+    def has_to_wait_for_memory(self) -> bool:
+        """Returns whether the next command waits; sets whether it is denied."""
+        if not self.reader.unread_bytes():
+            return False
+        admission = self.admission.decide(
+            self.held_reply_bytes(),
+            self.outstanding.smoothed_reply_bytes,
+            self.listener.loop.now,
+        )
+        self.denies_commands = admission is Admission.DENIED
+        return admission is Admission.WAITS
+
+    def book_memory(self) -> None:
+        """Books what the client's replies, and commands without an answer, take."""
+        if self.conn.is_open:
+            held_bytes = self.held_reply_bytes() + self.outstanding.command_bytes
+            self.admission.book(held_bytes)
+
+    def try_again(self) -> bool:
+        """Handles commands that waited for memory; returns whether they wait no longer."""
+        self.process_input()
+        return not self.admission.is_waiting
+
     def go_on_next_turn(self) -> None:
         """Leaves the rest of the received commands to the next turn."""
         self.goes_on_next_turn = True
@@ -372,6 +403,12 @@
             self.is_check_due = True
             self.listener.loop.call_later(WRITE_CHECK_INTERVAL_US, self.check_replies)
 
+    def on_replies_read(self) -> None:
+        """Books that the client has read its replies, and resumes processing."""
+        self.book_memory()
+        if self.conn.is_open and not self.conn.closing and self.conn.read_paused:
+            self.process_input()
+
     def check_replies(self) -> None:
         """Resumes processing if clients have read enough of their replies."""
         self.is_check_due = False
@@ -405,7 +442,6 @@
         """Returns the reply to a command that was read, which is outstanding from now on."""
         reply = Reply(self)
         self.outstanding.add(reply)
-        self.reply_budget.on_accepted(self.outstanding.smoothed_reply_bytes)
         return reply
 
     def run_local(self, name: bytes, words: list[bytes]) -> bytes | None:
@@ -431,7 +467,7 @@
         is_split = len(positions_by_slot) > 1
         if is_split and not command.join:
             reply.set_encoded(encode_error("CROSSSLOT Keys in request don't hash to the same slot"))
-        elif self.is_ending:
+        elif self.is_ending or self.denies_commands:
             self.deny(reply)
         elif is_split:
             self.split = SplitCommand(self, command, words[0], keys, positions_by_slot)
