--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -1,6 +1,6 @@
 """Connections from RESP clients, which get their replies in the order of their commands.
 
-Commands of one connection may be pipelined; `command_scheduler` forwards them.
+Commands of one connection may be pipelined; `command_forwarder` forwards them.
 
 A client that pipelines may always have a command without a reply, so in a drain its connection ends
 between two replies: commands that are read from some time on are denied, and once those before them
@@ -10,13 +10,12 @@
 from __future__ import annotations
 
 import socket
-from functools import partial
 
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.loop import READ
 from orchidgap.resp.command_arrival import CommandArrival
-from orchidgap.resp.command_scheduler import CommandScheduler
+from orchidgap.resp.command_forwarder import SERVICE_UNAVAILABLE, CommandForwarder
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
 from orchidgap.resp.config import RespConfig
 from orchidgap.resp.framing import MAX_ITEM_BYTES
@@ -27,14 +26,12 @@
 from orchidgap.resp.reply_admission import Admission, ReplyAdmission
 from orchidgap.resp.reply_budget import ReplyBudget
 from orchidgap.resp.session import Session
-from orchidgap.resp.split_command import SplitCommand
-from orchidgap.resp.writers import encode_bulk, encode_command, encode_error
+from orchidgap.resp.writers import encode_bulk, encode_error
 
 WRITE_CHECK_INTERVAL_US = 20_000  # between checks whether clients read their replies again
 MAX_HANDLING_US = 5_000  # after which a client's received commands go on in the next turn
 MAX_SHOWN_BYTES = 60  # length limit of a command name in an error reply
 MAX_FINAL_READS = 16  # reads before a connection ends, so that a flood cannot prevent the end
-SERVICE_UNAVAILABLE = 503
 COMMANDS_BEFORE_LOGIN = (b"AUTH", b"HELLO", b"QUIT", b"RESET")
 MEMORY_IS_SHORT = "TRYAGAIN not enough memory for the command now"
 REJECTIONS = {
@@ -53,9 +50,8 @@
         session: user, client name and protocol version.
         reader: the parser of received bytes.
         outstanding: replies that are not written yet.
-        scheduler: forwards commands to servers in their order.
+        forwarder: forwards commands to servers in their order.
         capacity_freed_at_us: when written replies last freed capacity for further commands.
-        command_count: commands for servers so far, counting each part of a split command.
         holds_replies: replies are not written for the moment.
         admission: decides by the memory whether the next command is accepted.
         denies_commands: commands are denied, as there is no memory for their replies.
@@ -63,7 +59,6 @@
         has_last_command: no more commands are handled, after QUIT or a protocol error, and the
             connection ends once the outstanding replies are written.
         goes_on_next_turn: received commands are left to be handled in the next turn of the loop.
-        split: a split command of which some parts are not forwarded yet; None if there is none.
         is_ending: commands that are read from now on are denied, and the connection ends as soon
             as no reply is outstanding.
     """
@@ -72,9 +67,9 @@
         "admission",
         "arrival",
         "capacity_freed_at_us",
-        "command_count",
         "config",
         "denies_commands",
+        "forwarder",
         "goes_on_next_turn",
         "has_last_command",
         "holds_replies",
@@ -82,9 +77,7 @@
         "is_ending",
         "outstanding",
         "reader",
-        "scheduler",
         "session",
-        "split",
     )
 
     def __init__(
@@ -104,15 +97,13 @@
         self.session = Session(config, number)
         self.reader = RespReader()
         self.outstanding = OutstandingReplies()
-        self.scheduler = CommandScheduler(listener.loop, listener.handler.slot_owner)
         self.capacity_freed_at_us = 0
-        self.command_count = 0
         self.goes_on_next_turn = False
         self.has_last_command = False
         self.holds_replies = False
         self.is_ending = False
-        self.split: SplitCommand | None = None
         super().__init__(listener, sock)
+        self.forwarder = CommandForwarder(self)
         self.conn.on_drained = self.on_replies_read
 
     # --- called by the listener
@@ -140,8 +131,7 @@
         replies = self.outstanding.replies
         self.outstanding = OutstandingReplies()
         self.admission.close()
-        self.split = None
-        self.scheduler.close()
+        self.forwarder.close()
         for reply in replies:
             reply.on_client_disconnect()
 
@@ -157,13 +147,7 @@
     def deny_waiting(self) -> None:
         """Denies the commands that wait for others of their slot or server, and all later ones."""
         self.is_ending = True
-        if self.split:
-            for part in self.split.take_replies():
-                self.deny(part)
-        waiting = [part for reply in self.outstanding.replies for part in reply.unforwarded()]
-        for reply in waiting:
-            reply.forward = None
-            self.deny(reply)
+        self.forwarder.deny_waiting(self.outstanding.replies)
 
     # --- called by replies
 
@@ -212,7 +196,7 @@
     def on_forwarded_reply(self, reply: Reply) -> None:
         """Lets the commands be forwarded that the answered one has blocked."""
         self.outstanding.on_answered(reply)
-        self.scheduler.on_answered(reply)
+        self.forwarder.on_answered(reply)
 
     # --- commands
 
@@ -236,9 +220,9 @@
     def handle_input(self) -> None:
         """Handles received commands; called by `process_input` only."""
         handle_until_us = self.listener.loop.clock() + MAX_HANDLING_US
-        self.forward_parts(handle_until_us)
+        self.forwarder.forward_parts(handle_until_us)
         while self.conn.is_open and not self.conn.closing:
-            if self.split:
+            if self.forwarder.split:
                 self.go_on_next_turn()
                 return
             if self.pause_if_necessary():
@@ -250,7 +234,7 @@
                 self.listener.awaiting_request.pop(self, None)
                 self.requests_read += 1
                 self.handle_command(words)
-                self.forward_parts(handle_until_us)
+                self.forwarder.forward_parts(handle_until_us)
             if self.listener.loop.clock() >= handle_until_us and self.reader.unread_bytes():
                 self.go_on_next_turn()
                 return
@@ -468,58 +452,9 @@
         if is_split and not command.join:
             reply.set_encoded(encode_error("CROSSSLOT Keys in request don't hash to the same slot"))
         elif self.is_ending or self.denies_commands:
-            self.deny(reply)
+            self.forwarder.deny(reply)
         elif is_split:
-            self.split = SplitCommand(self, command, words[0], keys, positions_by_slot)
-            self.outstanding.replace_last(self.split.joined)
+            joined = self.forwarder.start_split(command, words[0], keys, positions_by_slot)
+            self.outstanding.replace_last(joined)
         else:
-            self.forward(reply, command, words, keys[0], next(iter(positions_by_slot)))
-
-    def forward_parts(self, handle_until_us: int) -> None:
-        """Forwards parts of a split command, at least one, for no longer than until this time."""
-        while self.split:
-            part = self.split.take_next()
-            if part is None:
-                self.split = None
-                return
-            self.forward(part.reply, self.split.command, part.words, part.words[1], part.slot)
-            if self.listener.loop.clock() >= handle_until_us:
-                return
-
-    def forward(
-        self, reply: Reply, command: Command, words: list[bytes], key: bytes, slot: int
-    ) -> None:
-        """Forwards a command for one slot as soon as earlier commands permit it."""
-        if self.listener.loop.now >= reply.received_at_us + self.config.timeout_us:
-            self.deny(reply)
-            return
-        self.command_count += 1
-        reply.position = self.command_count
-        request_id = b"%d-%d" % (self.session.number, self.command_count)
-        request_class = self.config.write_class if command.is_write else self.config.read_class
-        encoded = encode_command(*words)
-        reply.command_bytes = len(encoded)
-        self.outstanding.on_forwarded(reply)
-        reply.slot = slot
-        reply.is_write = command.is_write
-        reply.forward = partial(
-            self.listener.handler.handle_request,
-            reply,
-            request_id,
-            request_class,
-            self.config.timeout_us,
-            command.is_write,
-            key,
-            self.session.tenant,
-            encoded,
-            b"",
-            slot,
-            idempotency=command.idempotency,
-        )
-        self.scheduler.add(reply)
-
-    def deny(self, reply: Reply) -> None:
-        """Answers a command that was not forwarded: nothing was done, and it may be sent again."""
-        self.listener.counts.rejections[SERVICE_UNAVAILABLE] += 1
-        retry_after_us = self.listener.handler.rejection_retry_after_us()
-        reply.answer(SERVICE_UNAVAILABLE, retry_after_us=retry_after_us)
+            self.forwarder.forward(reply, command, words, keys[0], next(iter(positions_by_slot)))
--- a/tests/resp/test_split_commands.py
+++ b/tests/resp/test_split_commands.py
@@ -42,7 +42,7 @@
 
     def forwarded_parts(self):
         """Return how many parts were forwarded, or wait for others of their server."""
-        return self.connection.command_count
+        return self.connection.forwarder.command_count
 
     def serve(self, reply=b"$1\r\nv\r\n"):
         """Run turns and answer commands until the client has a reply; return what it received."""
