--- a/orchidgap/fault_tests/plan.py
+++ b/orchidgap/fault_tests/plan.py
@@ -319,7 +319,7 @@
     Traceback (most recent call last):
         ...
     orchidgap.errors.ScenarioError: 'soon' begins with none of up, seconds, log, ended, \
-serves, denies, takes, gone - at `step[0].when`
+serves, denies, takes, gone, written - at `step[0].when`
     """
     try:
         document = tomllib.loads(text)
