RESP: a connection that ends neither waits for room nor holds up the queue for it

Change: whoever closes leaves the queue when it is looked at, every 20 ms; commands that are denied by a drain do not wait. Two tests, of which the first fails without the change of the drain, the second without that of the queue.

--- a/orchidgap/resp/reply_admission.py
+++ b/orchidgap/resp/reply_admission.py
@@ -50,13 +50,16 @@
         self.max_wait_us = timeout_us // WAIT_DIVISOR
         self.waits_since_us: int | None = None
 
-    def decide(self, held_bytes: int, reply_bytes: int, now_us: int) -> Admission:
+    def decide(
+        self, held_bytes: int, reply_bytes: int, now_us: int, may_wait: bool = True
+    ) -> Admission:
         """Returns what happens with the next command.
 
         Args:
             held_bytes: the size of the client's replies that are expected, or that it has not read.
             reply_bytes: the expected size of the command's reply.
             now_us: the current time.
+            may_wait: whether a client that holds nothing waits for others before it is denied.
         """
         if self.budget.permits(held_bytes, reply_bytes, self.booking, self.client):
             if self.waits_since_us is not None:
@@ -68,7 +71,7 @@
         if self.waits_since_us is None:
             self.waits_since_us = now_us
             self.budget.waiting[self.client] = None
-        if now_us - self.waits_since_us < self.max_wait_us:
+        if may_wait and now_us - self.waits_since_us < self.max_wait_us:
             return Admission.WAITS
         self.budget.waiting.pop(self.client, None)  # later commands are denied without a wait
         return Admission.DENIED
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -265,6 +265,7 @@
             self.held_reply_bytes(),
             self.outstanding.smoothed_reply_bytes,
             self.listener.loop.now,
+            may_wait=not self.is_ending,
         )
         self.denies_commands = admission is Admission.DENIED
         return admission is Admission.WAITS
@@ -277,7 +278,7 @@
 
     def try_again(self) -> bool:
         """Handles commands that waited for memory; returns whether they wait no longer."""
-        self.process_input()
+        self.resume_if_paused()
         return not self.admission.is_waiting
 
     def go_on_next_turn(self) -> None:
@@ -390,13 +391,18 @@
     def on_replies_read(self) -> None:
         """Books that the client has read its replies, and resumes processing."""
         self.book_memory()
-        if self.conn.is_open and not self.conn.closing and self.conn.read_paused:
-            self.process_input()
+        self.resume_if_paused()
 
     def check_replies(self) -> None:
         """Resumes processing if clients have read enough of their replies."""
         self.is_check_due = False
-        if self.conn.is_open and self.conn.read_paused:
+        self.resume_if_paused()
+
+    def resume_if_paused(self) -> None:
+        """Handles commands that were left in the kernel, unless the connection ends."""
+        if self.conn.closing:
+            self.admission.stop_waiting()
+        elif self.conn.is_open and self.conn.read_paused:
             self.process_input()
 
     def handle_command(self, words: list[bytes]) -> None:
--- a/tests/resp/test_reply_budget.py
+++ b/tests/resp/test_reply_budget.py
@@ -112,6 +112,7 @@
     assert decide(0, FIRST_REPLY_BYTES, 601_001) is Admission.DENIED, "so are those behind it"
     assert decide(100_000, FIRST_REPLY_BYTES, 601_002) is Admission.WAITS, "it has to read first"
     assert decide(0, FIRST_REPLY_BYTES, 601_003) is Admission.WAITS, "its wait begins anew"
+    assert decide(0, FIRST_REPLY_BYTES, 601_003, may_wait=False) is Admission.DENIED
     others.book(0)
     assert decide(0, FIRST_REPLY_BYTES, 900_000) is Admission.ACCEPTED
 
@@ -196,6 +197,34 @@
     assert client.take_replies(wait_us=100_000) == b"$-1\r\n" * 3
 
 
+def waiting_client():
+    """Return a cluster whose replies leave no room, and a client whose command waits for it."""
+    cluster = RespCluster(latency_us=1_000, limits={"memory_mb": LIMIT_MB})
+    MemoryBooking(cluster.node.memory_account).book(BUDGET_BYTES)
+    client = Client(cluster)
+    assert client.send(encode_command(b"GET", b"k"), wait_us=10_000) == b""
+    (connection,) = cluster.node.clients.open_clients
+    assert connection.admission.is_waiting
+    return cluster, client, connection
+
+
+def test_a_command_does_not_wait_for_room_while_its_connection_ends():
+    _, client, connection = waiting_client()
+    connection.end_when_answered()
+    assert client.take_replies(wait_us=WRITE_CHECK_INTERVAL_US + 5_000).startswith(b"-TRYAGAIN")
+    assert client.end_reason == "closed"
+
+
+def test_a_connection_that_closes_leaves_the_queue_for_room():
+    # Guards against a queue that nobody gets past, as its first client never asks again.
+    _, _, connection = waiting_client()
+    connection.conn.send(b"x" * MAX_HELD_BYTES)  # not read, so that it takes long to close
+    connection.finish()
+    assert connection.admission.is_waiting
+    assert connection.try_again()
+    assert not connection.admission.budget.waiting
+
+
 def test_one_look_at_a_time_is_scheduled_for_a_client_that_waits(monkeypatch):
     # Each reply to a client that waited for its buffer added a timer of its own.
     looks = []
