--- a/orchidgap/net/client_connection.py
+++ b/orchidgap/net/client_connection.py
@@ -31,6 +31,11 @@
         self.requests_answered = 0
         self.conn = Connection(listener.loop, sock, self, with_timestamps=True, deferrable=True)
 
+    @property
+    def booked_bytes(self) -> int:
+        """What the connection has booked in the memory account; 0 for protocols that book none."""
+        return 0
+
     # --- implemented by each protocol
 
     @property
--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -108,6 +108,11 @@
 
     # --- called by the listener
 
+    @property
+    def booked_bytes(self) -> int:
+        """What the client's replies, and commands without an answer, take."""
+        return self.admission.booking.booked_bytes
+
     @property
     def request_begun(self) -> bool:
         """Whether part of a command has arrived, or a command is not answered."""
--- a/orchidgap/simulation/balancer_instance.py
+++ b/orchidgap/simulation/balancer_instance.py
@@ -318,6 +318,16 @@
                 self.admin_address, lambda sock, who: loop.call_soon(admin.accept, sock)
             )
 
+    def account_fault(self) -> str:
+        """Return how the memory account differs from what open clients have booked, or nothing."""
+        if not self.alive or not self.node:
+            return ""
+        account_bytes = self.node.memory_account.booked_bytes
+        client_bytes = sum(client.booked_bytes for client in self.node.clients.open_clients)
+        if account_bytes == client_bytes:
+            return ""
+        return f"{self.name}: {account_bytes} bytes are booked, {client_bytes} by open clients"
+
     def has_exited(self) -> bool:
         """Return whether the node has stopped its loop."""
         return self.loop is not None and not self.loop.running
--- a/orchidgap/simulation/simulation.py
+++ b/orchidgap/simulation/simulation.py
@@ -423,6 +423,7 @@
         virtual = [balancer for balancer in balancers if isinstance(balancer, VirtualBalancer)]
         processes = [balancer for balancer in balancers if isinstance(balancer, BalancerProcess)]
         faults = [fault for balancer in virtual for fault in balancer.log.faults]
+        faults += filter(None, (balancer.account_fault() for balancer in virtual))
         verdict["faults"] = len(faults)
         if faults:
             verdict["verdict"] = "broken"
