Fault test: a process that ends before anything is written to it has logged what it read

By its log it was told to end 51 ms after its start, stopped in time, and logged its traffic: none.

Cause: in the check. Whether a process has logged was told by the requests written to it, which were none.

Change: the ledger remembers who has logged. One that exits without a log is a breach as before. The new test failed before.

--- a/orchidgap/fault_tests/request_ledger.py
+++ b/orchidgap/fault_tests/request_ledger.py
@@ -145,6 +145,7 @@
         self.written: list[WrittenRequest] = []
         self.last_by_id: dict[bytes, WrittenRequest] = {}
         self.end_times_us: dict[ProcessKey, int] = {}
+        self.logged: set[ProcessKey] = set()  # processes that logged what they had read
         invariant_checker = cluster.invariant_checker
         self.on_client_attempt: Callable[[ClientAttempt], None] = (
             invariant_checker.on_client_attempt
@@ -221,6 +222,7 @@
         for traffic in read_traffic(self.cluster.logs.log_path(name)):
             process = next((process for at_us, process in ends if at_us >= traffic.at_us), None)
             if process:
+                self.logged.add(process)
                 row = rows.setdefault(process, LedgerRow())
                 row.arrived = traffic.arrived
                 row.rejected = traffic.rejected
@@ -232,7 +234,8 @@
         who = f"process {process.incarnation} of {process.balancer}"
         invariant_checker.record_event(now_us, f"requests written to {who}: {row.describe()}")
         faults = row.faults()
-        if self.cluster.process_end(*process) is ProcessEnd.EXITED and not row.counted:
+        has_exited = self.cluster.process_end(*process) is ProcessEnd.EXITED
+        if has_exited and process not in self.logged:
             faults.append(f"it exited by itself without logging what it read: {row.describe()}")
         for fault in faults:
             invariant_checker.record_breach("lost", now_us, f"requests to {who}: {fault}")
--- a/tests/fault_tests/test_request_ledger.py
+++ b/tests/fault_tests/test_request_ledger.py
@@ -90,6 +90,14 @@
     assert "without logging what it read" in checker.breaches[0][2]
 
 
+def test_a_process_that_exits_before_a_request_was_written_to_it_has_logged_that(tmp_path):
+    # a process that is told to end as it starts was reported as lost, though it logged no request
+    ledger, checker = make_ledger(tmp_path, '"requests": {}, "rejected": {}')
+    figures = ledger.report()["ledger"]
+    assert (figures["written"], figures["counted"]) == (0, 0)
+    assert not checker.breaches
+
+
 def test_a_killed_process_has_no_count_and_its_open_requests_are_excused(tmp_path):
     # a kill after the time for a shutdown excuses nothing
     ledger, checker = make_ledger(tmp_path, end=ProcessEnd.KILLED)
