RESP: a connection closed to make room returns what it has booked

Found on the last reading, not seen by callers: a connection that is closed while its client still has replies to read (the table of closing clients is full, say) returned nothing to the memory account, which would have stayed used up by it for good, with large replies denied.

Cause: bookings were returned in on_disconnect, which only some closes call. Change: close returns them, as every end of a connection goes through it. The new test failed before.

Measured: tests of resp and of the account 382 passed, linter, types.

--- a/orchidgap/resp/server.py
+++ b/orchidgap/resp/server.py
@@ -14,6 +14,7 @@
 from orchidgap.net.client_connection import ClientConnection
 from orchidgap.net.client_listener import ClientListener
 from orchidgap.net.loop import READ
+from orchidgap.net.traffic_counts import ConnectionEnd
 from orchidgap.resp.command_arrival import CommandArrival
 from orchidgap.resp.command_forwarder import SERVICE_UNAVAILABLE, CommandForwarder
 from orchidgap.resp.commands import COMMANDS, UNSUPPORTED, Command, has_valid_length, keys_of
@@ -131,11 +132,15 @@
             self.conn.send(encode_error(REJECTIONS.get(status, f"ERR {status}")))
             self.finish()
 
+    def close(self, end: ConnectionEnd, read_up_to_us: int = 0) -> None:
+        """Closes the connection and returns what it has booked, however it ends."""
+        super().close(end, read_up_to_us)
+        self.admission.close()
+
     def on_disconnect(self) -> None:
         """Discards the client's commands after it has disconnected."""
         replies = self.outstanding.replies
         self.outstanding = OutstandingReplies()
-        self.admission.close()
         self.forwarder.close()
         for reply in replies:
             reply.on_client_disconnect()
--- a/tests/resp/test_reply_budget.py
+++ b/tests/resp/test_reply_budget.py
@@ -6,6 +6,7 @@
 from orchidgap.net.loop import Loop
 from orchidgap.net.memory_account import MARGIN_RATIO, MemoryAccount, MemoryBooking
 from orchidgap.net.memory_pressure import BYTES_PER_MB, SHORT_BUFFER_BYTES, MemoryPressure
+from orchidgap.net.traffic_counts import ConnectionEnd
 from orchidgap.resp.outstanding_replies import FIRST_REPLY_BYTES
 from orchidgap.resp.reply_admission import Admission, ReplyAdmission
 from orchidgap.resp.reply_budget import BUDGET_RATIO, MAX_HELD_BYTES, ReplyBudget
@@ -225,6 +226,19 @@
     assert not connection.admission.budget.waiting
 
 
+def test_a_connection_closed_to_make_room_returns_what_it_has_booked():
+    # Guards against an account that stays used up by clients that did not read their last replies.
+    cluster = RespCluster(latency_us=1_000, limits={"memory_mb": LIMIT_MB})
+    client = PipeliningClient(cluster, (b"ECHO", b"v" * 100_000), depth=4)
+    client.conn.pause_reading(True)
+    cluster.advance(100_000)
+    (connection,) = cluster.node.clients.open_clients
+    assert cluster.node.memory_account.booked_bytes > 0
+    connection.finish()
+    connection.close(ConnectionEnd.FINISHED)
+    assert cluster.node.memory_account.booked_bytes == 0
+
+
 def test_one_look_at_a_time_is_scheduled_for_a_client_that_waits(monkeypatch):
     # Each reply to a client that waited for its buffer added a timer of its own.
     looks = []
